--- /dev/null
+++ b/calicofall/__init__.py
@@ -0,0 +1,1 @@
+"""calicofall: a router for fleets of cache servers."""
--- /dev/null
+++ b/calicofall/benchlink/__init__.py
@@ -0,0 +1,1 @@
+"""The bench's wire joined to the decision module."""
--- /dev/null
+++ b/calicofall/policy.py
@@ -0,0 +1,472 @@
+"""All decisions of a proxy: where an RPC goes, what follows an outcome, how long to wait.
+
+How to call it (benchlink/host.py makes each call; the interface is below and, for the RPC record, in rpc.py).
+One `Policy(deployment, seed, now)` a proxy; times are ms with fractions. Three calls give plain values back:
+  where(now, rpc) -> verdict: where to send this RPC, or not yet, or never
+  after(now, rpc, number, took, note, report) -> verdict or None, once rpc.sent[number].outcome is known
+  wait(now) -> (ms until the next call, errands such as ("follow",), ("log", text))
+A verdict is ("send", cache, time-out), ("wait", ms), ("exhausted", come-back ms) or ("errored",); the caller
+carries it out, and calls where() again after a wait. News comes by listed(), left() and probed().
+"""
+
+from hashlib import blake2b
+from heapq import nsmallest
+from math import inf, log, sqrt
+from random import Random
+
+from calicofall.rpc import Rpc
+
+PRIME = (1 << 61) - 1
+FADE = 20_000.0  # the design's ramp of a weight after the listed start
+REVIEW = 250.0  # between two looks at the measures
+FAILED = frozenset({"timeout", "unconnected", "reset", "error"})
+Verdict = tuple
+
+
+def point(name: bytes) -> int:
+    """A place on the circle, the same at every proxy and at each start."""
+    return int.from_bytes(blake2b(name, digest_size=8).digest()) % PRIME
+
+
+class Ring:
+    """Counts and sums over the last `span` ms, in fixed buckets of time that are used again."""
+
+    __slots__ = ("width", "marks", "counts", "sums")
+
+    def __init__(self, span: float, buckets: int = 8) -> None:
+        self.width = span / buckets
+        self.marks, self.counts, self.sums = [-1] * buckets, [0.0] * buckets, [0.0] * buckets
+
+    def add(self, now: float, value: float = 0.0, count: float = 1.0) -> None:
+        mark = int(now // self.width)
+        i = mark % len(self.marks)
+        if self.marks[i] != mark:
+            self.marks[i], self.counts[i], self.sums[i] = mark, 0.0, 0.0
+        self.counts[i] += count
+        self.sums[i] += value
+
+    def live(self, now: float) -> list[int]:
+        oldest = int(now // self.width) - len(self.marks)
+        return [i for i, mark in enumerate(self.marks) if mark > oldest]
+
+    def count(self, now: float) -> float:
+        return sum(self.counts[i] for i in self.live(now))
+
+    def mean(self, now: float, default: float = 0.0) -> float:
+        live = self.live(now)
+        count = sum(self.counts[i] for i in live)
+        return sum(self.sums[i] for i in live) / count if count else default
+
+
+class Limit:
+    """An in-flight limit that follows the shortest answer time over the present one."""
+
+    def __init__(self, start: float, floor: float) -> None:
+        self.value, self.floor, self.held, self.peak = start, floor, 0, 0
+        self.present = Ring(1000.0, 4)
+
+    def review(self, now: float) -> None:
+        if self.present.count(now) >= 3:
+            ratio = min(1.0, max(0.5, 2.0 / max(self.present.mean(now), 0.1)))
+            if ratio < 1 or self.peak > self.value / 2:
+                self.value += 0.2 * (self.value * ratio + sqrt(self.value) - self.value)
+        self.value = max(self.floor, self.value)
+        self.peak = self.held
+
+
+class Cache:
+    """What this proxy knows of one cache, or of the origin."""
+
+    def __init__(self, name: str) -> None:
+        self.name, self.salt = name, point(name.encode()) | 1
+        self.weight, self.started, self.ready, self.cell, self.zone = 1.0, 0.0, True, 0, ""
+        self.held = 0
+        self.pace = Ring(3000.0, 6)  # answer time over what is usual for the method
+        self.done = Ring(4000.0, 8)
+        self.sent = Ring(1000.0, 8)
+        self.streak = 0  # failures in a row that speak of a dead process
+        self.aside_since: float | None = None
+        self.gap, self.trickle_at = 0.0, 0.0
+
+
+class Policy:
+    def __init__(self, deployment: dict, seed: int, now: float) -> None:
+        self.deployment, self.rules, self.caps = deployment, deployment["rules"], deployment["caps"]
+        self.chance = Random(seed)
+        self.methods = {method["name"]: method for method in deployment["methods"]}
+        self.proxies = max(1, deployment.get("proxies") or 1)
+        self.most = self.caps.get("most_transmissions") or 3
+        data = deployment.get("data") or {}
+        self.aside = data.get("mode") == "aside"
+        kind, kinds = data.get("origin_kind", -1), deployment.get("kinds") or []
+        self.origin_kind = kinds[kind] if self.aside and 0 <= kind < len(kinds) else None
+        self.caches: dict[str, Cache] = {}
+        self.origins: list[Cache] = []
+        self.usable: list[tuple[float, Cache]] = []  # ready, not set aside: (present weight, cache)
+        self.rankings: dict[int, list[Cache]] = {}
+        self.version = -1
+        self.errands: list[tuple] = []
+        # Following the list
+        self.asks = deployment.get("discovery") == "ask"
+        self.following, self.ask_at, self.ask_gap = False, now if self.asks else inf, 250.0
+        # Measures
+        self.usual = {name: Ring(20_000.0, 10) for name in self.methods}  # completed answer times
+        self.typical = {name: method["soft_deadline"] / 8 for name, method in self.methods.items()}
+        self.fetches, self.fetch_usual = Ring(20_000.0, 10), min(self.typical.values(), default=50.0)
+        self.fleet = Limit(16.0, 4.0)
+        self.origin = Limit(8.0, 2.0)
+        self.retries = 10.0
+        self.carried = 0.0  # completed by a warm cache, per ms and unit of weight, this proxy's share
+        self.fetching: dict[int, int] = {}  # keys asked of the origin by this proxy
+        quotas = {t["name"]: t.get("quota") or 0.0 for t in deployment.get("tenants") or []}
+        self.quota = {name: quota / 1000.0 / self.proxies for name, quota in quotas.items()}
+        self.purse = {name: [quota * 500.0, now] for name, quota in self.quota.items()}
+        self.asked = {name: Ring(4000.0, 8) for name in self.quota}
+        self.scale = 1.0
+        gains = {name: method.get("gain") or 1.0 for name, method in self.methods.items()}
+        top = max(gains.values(), default=1.0)
+        self.rank = {name: gain / top for name, gain in gains.items()}
+        self.review_at, self.overloaded = now + REVIEW, False
+
+    # News
+
+    def listed(self, now: float, kind: str, version: int | None, entries: list[tuple]) -> None:
+        if kind == "failed":
+            self.following = False
+            # Guards against all proxies asking again in step and filling the list's service once more.
+            self.ask_at = now + self.ask_gap * self.chance.uniform(0.5, 1.5)
+            self.ask_gap = min(self.ask_gap * 2, 4000.0)
+            return
+        if kind != "cached" and self.asks:
+            self.following, self.ask_at, self.ask_gap = True, inf, 250.0
+        if kind != "delta":
+            for cache in [*self.caches.values(), *self.origins]:
+                cache.ready = False
+        for name, zone, machine, cell, state, weight, started in entries:
+            if machine == self.origin_kind and self.origin_kind is not None:
+                cache = next((o for o in self.origins if o.name == name), None)
+                if cache is None:
+                    cache = Cache(name)
+                    self.origins.append(cache)
+            else:
+                cache = self.caches.get(name) or self.caches.setdefault(name, Cache(name))
+            if started > cache.started:  # a fresh process: what was held against the old one is void
+                cache.streak, cache.aside_since, cache.pace = 0, None, Ring(3000.0, 6)
+            cache.zone, cache.cell, cache.started = zone, cell, started
+            cache.ready, cache.weight = state == "ready", weight if weight and weight > 0 else 1.0
+        self._refresh(now)
+
+    def left(self, now: float, rpc: Rpc) -> list[int]:
+        """The client has left: which transmissions to call off."""
+        if not self.caps.get("cancel"):
+            return []
+        return [number for number, tx in enumerate(rpc.sent) if tx.outcome is None]
+
+    def probed(self, now: float, name: str, fine: bool, took: float) -> None:
+        pass
+
+    # How long to wait
+
+    def wait(self, now: float) -> tuple[float, list[tuple]]:
+        if now >= self.ask_at:
+            self.errands.append(("follow",))
+            # If neither list nor failure comes back, ask again well within the stated span.
+            self.ask_at = now + (self.rules.get("ask_every") or 10_000.0) / 2
+        if now >= self.review_at:
+            self._review(now)
+            self.review_at = now + REVIEW
+        errands, self.errands = self.errands, []
+        return max(1.0, min(self.review_at, self.ask_at) - now), errands
+
+    def _review(self, now: float) -> None:
+        for name, ring in self.usual.items():
+            means = [ring.sums[i] / ring.counts[i] for i in ring.live(now) if ring.counts[i] >= 4]
+            if means:
+                self.typical[name] = min(means)
+        means = [self.fetches.sums[i] / self.fetches.counts[i] for i in self.fetches.live(now)
+                 if self.fetches.counts[i] >= 4]
+        if means:
+            self.fetch_usual = min(means)
+        self.fleet.review(now)
+        self.origin.review(now)
+        fills = sorted(ring.count(now) / 4000.0 / self.quota[name] for name, ring in self.asked.items()
+                       if self.quota[name] > 0)
+        # Clients are not spread evenly over proxies: the middle tenant shows this proxy's part.
+        self.scale = min(2.0, max(1.0, fills[len(fills) // 2])) if fills else 1.0
+        done = weight = 0.0
+        for cache in self.caches.values():
+            if cache.ready and not self._cold(now, cache):
+                done += cache.done.count(now)
+                weight += cache.weight
+        if weight and done:
+            self.carried = max(done / weight / 4000.0, self.carried * 0.98)
+        self._judge(now)
+        if self.overloaded != (self.fleet.held > self.fleet.value):
+            self.overloaded = not self.overloaded
+            mode = "overload" if self.overloaded else "overload over"
+            self.errands.append(("log", f"{mode}: {self.fleet.held} in flight, limit {self.fleet.value:.1f}"))
+        if any(c.started and now - c.started < FADE + 1000 for c in self.caches.values()):
+            self._refresh(now)
+
+    def _judge(self, now: float) -> None:
+        """Set aside the few caches that are far slower than their peers or do not answer."""
+        paces = {c.name: c.pace.mean(now) for _, c in self.usable
+                 if c.pace.count(now) >= 3 and not self._cold(now, c)}
+        middle = sorted(paces.values())[len(paces) // 2] if paces else 1.0
+        few = max(1, int(0.3 * sum(c.ready for c in self.caches.values())))
+        changed = False
+        for cache in sorted(self.caches.values(), key=lambda c: -paces.get(c.name, 0.0)):
+            out = sum(c.ready and c.aside_since is not None for c in self.caches.values())
+            if cache.aside_since is not None or not cache.ready or out >= few:
+                continue
+            pace = paces.get(cache.name, 0.0)
+            if cache.streak >= 2 or (len(paces) >= 3 and pace > 3.0 * max(middle, 1.0)):
+                cache.aside_since, cache.gap = now, 1000.0
+                cache.trickle_at = now + cache.gap
+                changed = True
+                self.errands.append(("log", f"set aside {cache.name}: pace {pace:.1f}, peers {middle:.1f}, "
+                                            f"{cache.streak} failures in a row"))
+        if changed:
+            self._refresh(now)
+
+    def _trickled(self, now: float, cache: Cache, fine: bool) -> None:
+        cache.gap = cache.gap / 2 if fine else min(4000.0, cache.gap * 2)
+        cache.trickle_at = now + cache.gap
+        if cache.gap < 60.0:
+            cache.aside_since, cache.streak, cache.pace = None, 0, Ring(3000.0, 6)
+            self.errands.append(("log", f"taken back {cache.name}: {now:.0f}"))
+            self._refresh(now)
+
+    # The design: the weighted logarithmic owner
+
+    def _refresh(self, now: float) -> None:
+        self.usable = [(self._weight(now, c), c) for c in self.caches.values()
+                       if c.ready and c.aside_since is None]
+        self.rankings.clear()
+
+    def _weight(self, now: float, cache: Cache) -> float:
+        age = now - cache.started
+        return cache.weight * (min(1.0, 0.1 + 0.9 * max(0.0, age) / FADE) if cache.started else 1.0)
+
+    def _cold(self, now: float, cache: Cache) -> bool:
+        return cache.started > 0 and now - cache.started < (self.rules.get("cold") or FADE)
+
+    def _score(self, place: int, weight: float, cache: Cache) -> float:
+        return -log(1.0 - (place * cache.salt) % PRIME / PRIME) / weight
+
+    def _ranking(self, key: int) -> list[Cache]:
+        """The key's three best caches; kept until the list, a weight or the set-aside caches change."""
+        ranking = self.rankings.get(key)
+        if ranking is None:
+            place = point(key.to_bytes(8))
+            best = nsmallest(3, [(self._score(place, weight, c), c.name) for weight, c in self.usable])
+            ranking = self.rankings[key] = [self.caches[name] for _, name in best]
+        return ranking
+
+    def _choose(self, now: float, rpc: Rpc) -> Cache | None:
+        # An RPC without a key has no owner: it draws one, so that load still follows the weights.
+        key = rpc.key if rpc.key is not None else self.chance.getrandbits(52)
+        tried = {tx.cache for tx in rpc.sent if not (rpc.joined and tx.outcome == "missed")}
+        if not rpc.sent and self.methods[rpc.method]["repeats"] == "retriable":
+            for cache in self.caches.values():
+                if cache.aside_since and cache.ready and now >= cache.trickle_at and not cache.held:
+                    cache.trickle_at = now + cache.gap
+                    return cache
+        ranking = [c for c in self._ranking(key) if c.name not in tried and self._allowed(now, rpc, c)]
+        if rpc.sent and not ranking:
+            ranking = [c for _, c in self.usable if c.name not in tried and self._allowed(now, rpc, c)]
+            ranking = sorted(ranking, key=lambda c: (c.held, c.salt))[:1]
+        if not ranking:
+            return None
+        bar = max(2.0, 1.0 + 2.0 * self.fleet.held / max(1, len(self.usable)))
+        for cache in ranking:
+            if cache.held <= bar:
+                return cache
+        return min(ranking, key=lambda c: c.held)
+
+    def _allowed(self, now: float, rpc: Rpc, cache: Cache) -> bool:
+        first = next((tx for tx in rpc.sent if tx.may_have_run()), None)
+        method = self.methods[rpc.method]
+        if first is not None and method["repeats"] == "deduped":
+            home, group = self.caches.get(first.cache), method.get("group")
+            if home is None or (group == "zone" and home.zone != cache.zone) or \
+                    (group == "cell" and home.cell != cache.cell):
+                return False
+        return not self._cold(now, cache) or self._cold_room(now, cache)
+
+    def _cold_room(self, now: float, cache: Cache) -> bool:
+        """This proxy's part of what a cold cache can take: guards rule 4 where relative weights do not."""
+        share = self.rules.get("cold_share") or 0.1
+        age = max(0.0, now - cache.started) / (self.rules.get("cold") or FADE)
+        least = max(self.typical.values(), default=50.0) * self.proxies
+        rate = max(self.carried * cache.weight, 0.5 / least)
+        part = (share + (1 - share) * min(1.0, age)) * (self.rules.get("fall_multiple") or 1.0)
+        return cache.sent.count(now) < 0.6 * part * rate * 1000.0
+
+    # Admission: sharing and overload
+
+    def _share(self, now: float, rpc: Rpc) -> bool:
+        """Whether this RPC lies within its tenant's share, by this proxy's part of the quota."""
+        quota = self.quota.get(rpc.tenant)
+        if not quota:
+            return quota is None
+        self.asked[rpc.tenant].add(now)
+        purse = self.purse[rpc.tenant]
+        rate = quota * self.scale
+        purse[0] = min(rate * 1000.0 + 1, purse[0] + rate * (now - purse[1]))
+        purse[1] = now
+        if purse[0] >= 1.0:
+            purse[0] -= 1.0
+            return True
+        return False
+
+    def _bar(self, rpc: Rpc) -> float:
+        """The part of a limit that this RPC may fill: least gain first out."""
+        return 0.75 + 0.25 * self.rank[rpc.method] if rpc.within_share else 0.5
+
+    # Where to send this RPC
+
+    def where(self, now: float, rpc: Rpc) -> Verdict | None:
+        if rpc.over or rpc.bound:
+            return None
+        method = self.methods[rpc.method]
+        if rpc.within_share is None:
+            rpc.within_share = self._share(now, rpc)
+            self.retries = min(10.0, self.retries + 0.2)
+        room = rpc.until - now
+        if room <= 2.0 or len(rpc.sent) >= self.most or not self._may_send(now, rpc, method):
+            return self._give_up(rpc, method)
+        if self.aside and (rpc.write or rpc.missed or len(rpc.sent) >= self.most - 1):
+            return self._to_origin(now, rpc, method)
+        if not rpc.sent and self.fleet.held >= self.fleet.value * self._bar(rpc):
+            return self._later(now, rpc, method)
+        cache = self._choose(now, rpc)
+        if cache is None:
+            return self._later(now, rpc, method)
+        cache.held += 1
+        self.fleet.held += 1
+        self.fleet.peak = max(self.fleet.peak, self.fleet.held)
+        cache.sent.add(now)
+        return "send", cache.name, self._time_out(rpc, method, room)
+
+    def _time_out(self, rpc: Rpc, method: dict, room: float) -> float:
+        """Leaves time for another transmission where one may follow."""
+        if method["repeats"] == "non-retriable" or self.retries < 1 or len(rpc.sent) >= self.most - 1:
+            return room
+        patience = max(4.0 * self.typical[rpc.method], 0.4 * method["soft_deadline"])
+        return patience if patience + self.typical[rpc.method] < room else room
+
+    def _to_origin(self, now: float, rpc: Rpc, method: dict) -> Verdict:
+        origin = next((o for o in self.origins if o.ready), None)
+        bar = 1.0 if rpc.write else self._bar(rpc) * 0.8
+        if origin is None or self.origin.held >= self.origin.value * bar:
+            return self._later(now, rpc, method)
+        origin.held += 1
+        self.origin.held += 1
+        self.origin.peak = max(self.origin.peak, self.origin.held)
+        if rpc.key is not None and not rpc.write:
+            self.fetching[rpc.key] = self.fetching.get(rpc.key, 0) + 1
+        return "send", origin.name, rpc.until - now
+
+    def _may_send(self, now: float, rpc: Rpc, method: dict) -> bool:
+        """Rule 2: whether another transmission may have an effect twice."""
+        first = next((tx for tx in rpc.sent if tx.may_have_run()), None)
+        if any(tx.outcome is None for tx in rpc.sent):
+            return False
+        if first is None or method["repeats"] == "retriable":
+            return True
+        return method["repeats"] == "deduped" and now < first.at + method["window"]
+
+    def _later(self, now: float, rpc: Rpc, method: dict) -> Verdict:
+        """Not yet, while an answer within the soft deadline is likely; else never."""
+        patience = (0.25 if rpc.within_share else 0.0) * method["soft_deadline"]
+        if rpc.sent:
+            patience *= 2
+        if now - rpc.arrived < patience and rpc.until - now > 20.0:
+            return "wait", 10.0
+        return self._give_up(rpc, method)
+
+    def _give_up(self, rpc: Rpc, method: dict) -> Verdict:
+        """Exhausted where a repeat is harmless, errored where it might not be."""
+        repeats = method["repeats"]
+        if repeats == "retriable" or not rpc.may_have_run() or \
+                (repeats == "deduped" and method.get("group") == "all"):
+            longest = (self.caps.get("max_retry_after") or 0.0) if self.caps.get("retry_after") else 0.0
+            return "exhausted", longest * self.chance.uniform(0.3, 0.6)
+        return ("errored",)
+
+    # What to do after this outcome
+
+    def after(self, now: float, rpc: Rpc, number: int, took: float, note: str | None,
+              report: object) -> Verdict | None:
+        tx = rpc.sent[number]
+        outcome, method = tx.outcome, self.methods[rpc.method]
+        cache = self.caches.get(tx.cache)
+        if cache is None:
+            self._from_origin(now, rpc, tx.cache, outcome, took)
+        else:
+            self._learn(now, rpc, cache, outcome, took, note)
+        if rpc.over or rpc.bound:
+            return None
+        if outcome == "missed":
+            # Another RPC fetches this key: waiting once for its answer saves the origin a transmission.
+            joins = note == "fetching" or rpc.key in self.fetching
+            pause = self.fetch_usual * 0.8
+            # Guards against a wait that outlives the client's patience: the answer would come too late.
+            if joins and not rpc.joined and len(rpc.sent) + 2 <= self.most and rpc.until - now > 2 * pause:
+                rpc.joined = True
+                return "wait", pause
+            rpc.missed = True
+            return self.where(now, rpc)
+        if outcome in ("full", "unconnected", "moot") or self._may_retry(now, rpc):
+            return self.where(now, rpc)
+        return self._give_up(rpc, method)
+
+    def _may_retry(self, now: float, rpc: Rpc) -> bool:
+        # Guards against retry storms: retries are a part of what comes in, not of what fails.
+        if self.retries < 1 or rpc.until - now < self.typical[rpc.method]:
+            return False
+        self.retries -= 1
+        return True
+
+    def _learn(self, now: float, rpc: Rpc, cache: Cache, outcome: str, took: float, note: str | None) -> None:
+        cache.held -= 1
+        self.fleet.held -= 1
+        usual = max(self.typical[rpc.method], 1.0)
+        pace = min(took / usual, 10.0)
+        if outcome == "completed":
+            cache.streak = 0
+            cache.done.add(now)
+            self.usual[rpc.method].add(now, took)
+            cache.pace.add(now, pace)
+            self.fleet.present.add(now, pace)
+        elif outcome == "missed":
+            cache.streak = 0
+        elif outcome == "full":
+            self.fleet.present.add(now, 4.0)
+        elif outcome == "timeout":
+            cache.pace.add(now, pace)
+            self.fleet.present.add(now, pace)
+        elif outcome in ("unconnected", "reset"):
+            cache.streak += 1
+            if cache.streak == 2:
+                self.review_at = now
+        if cache.aside_since is not None and outcome != "cancelled":
+            self._trickled(now, cache, outcome in ("completed", "missed", "full") and pace < 3.0)
+
+    def _from_origin(self, now: float, rpc: Rpc, name: str, outcome: str, took: float) -> None:
+        origin = next(o for o in self.origins if o.name == name)
+        origin.held -= 1
+        self.origin.held -= 1
+        if rpc.key is not None and not rpc.write:
+            left = self.fetching.get(rpc.key, 1) - 1
+            if left > 0:
+                self.fetching[rpc.key] = left
+            else:
+                self.fetching.pop(rpc.key, None)
+        if outcome == "completed":
+            self.fetches.add(now, took)
+        if outcome in ("completed", "timeout"):
+            self.origin.present.add(now, min(took / max(self.fetch_usual, 1.0), 10.0))
+        elif outcome != "cancelled":
+            self.origin.present.add(now, 4.0)
--- /dev/null
+++ b/calicofall/rpc.py
@@ -0,0 +1,37 @@
+"""An RPC in hand: what the client asked for and what has been done for it so far."""
+
+from dataclasses import dataclass, field
+
+# Outcomes of a transmission that prove it never ran; every other one, and none yet, may have run.
+NOT_RUN = frozenset({"full", "unconnected", "moot", "missed"})
+
+
+@dataclass(slots=True)
+class Transmission:
+    cache: str
+    at: float
+    outcome: str | None = None
+
+    def may_have_run(self) -> bool:
+        return self.outcome not in NOT_RUN
+
+
+@dataclass(slots=True)
+class Rpc:
+    id: str
+    method: str
+    tenant: str | None
+    key: int | None
+    write: bool
+    arrived: float
+    until: float  # the client gives up this try then (ms)
+    repeat: bool = False
+    sent: list[Transmission] = field(default_factory=list)
+    over: bool = False  # answered, or its client has left
+    bound: bool = False  # a stream has begun: no deadline, no further transmission
+    missed: bool = False  # a cache lacked the key: the origin is next
+    joined: bool = False  # waited once for the fetch of another RPC
+    within_share: bool | None = None  # unknown until first asked about
+
+    def may_have_run(self) -> bool:
+        return any(tx.may_have_run() for tx in self.sent)
--- /dev/null
+++ b/tests/test_policy.py
@@ -0,0 +1,17 @@
+"""A small test for each failure found, the module alone."""
+
+from helpers import fleet, rpc_for, send
+
+from calicofall.policy import Policy
+
+
+def test_a_join_never_outlives_the_client() -> None:
+    """An RPC that waited for another's fetch was left without an answer when its client gave up first."""
+    policy = Policy(fleet(aside=True), 1, 0.0)
+    policy.listed(0.0, "full", 1, [("c1", "z", "box", 0, "ready", None, 0.0),
+                                   ("o", "z", "origin", 0, "ready", None, 0.0)])
+    rpc = rpc_for("read", until=60.0)
+    send(policy, 0.0, rpc)
+    rpc.sent[0].outcome = "missed"
+    verdict = policy.after(10.0, rpc, 0, 10.0, "fetching", None)
+    assert verdict and (verdict[0] != "wait" or 10.0 + verdict[1] < rpc.until)
