Answer times start from a third of the soft deadline, the origin's limit from 12

Before the first answers, an eighth of the soft deadline made healthy answers look slow and shrank the limits at once.

--- a/calicofall/policy.py
+++ b/calicofall/policy.py
@@ -111,10 +111,10 @@
         self.following, self.ask_at, self.ask_gap = False, now if self.asks else inf, 250.0
         # Measures
         self.usual = {name: Ring(20_000.0, 10) for name in self.methods}  # completed answer times
-        self.typical = {name: method["soft_deadline"] / 8 for name, method in self.methods.items()}
+        self.typical = {name: method["soft_deadline"] / 3 for name, method in self.methods.items()}
         self.fetches, self.fetch_usual = Ring(20_000.0, 10), min(self.typical.values(), default=50.0)
         self.fleet = Limit(40.0, 4.0)
-        self.origin = Limit(24.0, 2.0)
+        self.origin = Limit(12.0, 2.0)
         self.retries = 10.0
         self.carried = 0.0  # completed by a warm cache, per ms and unit of weight, this proxy's share
         self.fetching: dict[int, int] = {}  # keys asked of the origin by this proxy
