--- a/calicofall/policy.py
+++ b/calicofall/policy.py
@@ -280,7 +280,7 @@
             ranking = sorted(ranking, key=lambda c: (c.held, c.salt))[:1]
         if not ranking:
             return None
-        bar = max(2.0, 1.0 + 2.0 * self.fleet.held / max(1, len(self.usable)))
+        bar = 2.0
         for cache in ranking:
             if cache.held <= bar:
                 return cache
