Likely fetches share the origin's limit; no spill while the origin is half full

Cause: in through mode nothing limited what a jam sent to the catalogue; each refused spill came back as a further fetch. The module now remembers which cache was seen to hold a key; any other read, and each write, takes room under the origin's limit.

--- a/calicofall/benchlink/host.py
+++ b/calicofall/benchlink/host.py
@@ -16,7 +16,7 @@
     parse,
 )
 from calicofall.policy import Policy
-from calicofall.rpc import Rpc, Transmission
+from calicofall.rpc import Rpc
 
 REVIEW = 0  # the token of the module's own timer; RPCs that wait have tokens from 1 on
 
@@ -40,7 +40,6 @@
             return
         what = verdict[0]
         if what == "send":
-            rpc.sent.append(Transmission(verdict[1], now))
             self.put("PassOn", rpc.id, verdict[1], ns(verdict[2]))
         elif what == "wait":
             self.tokens += 1
--- a/calicofall/policy.py
+++ b/calicofall/policy.py
@@ -6,7 +6,8 @@
   after(now, rpc, number, took, note, report) -> verdict or None, once rpc.sent[number].outcome is known
   wait(now) -> (ms until the next call, errands such as ("follow",), ("log", text))
 A verdict is ("send", cache, time-out), ("wait", ms), ("exhausted", come-back ms) or ("errored",); the caller
-carries it out, and calls where() again after a wait. News comes by listed(), left() and probed().
+carries it out (rpc.sent has the transmission already), and calls where() again after a wait. News comes by
+listed(), left() and probed().
 """
 
 from hashlib import blake2b
@@ -14,10 +15,11 @@
 from math import inf, log, sqrt
 from random import Random
 
-from calicofall.rpc import Rpc
+from calicofall.rpc import Rpc, Transmission
 
 PRIME = (1 << 61) - 1
 FADE = 20_000.0  # the design's ramp of a weight after the listed start
+HOLDS = 10_000.0  # what was seen to be held is believed for one to two of these
 REVIEW = 250.0  # between two looks at the measures
 FAILED = frozenset({"timeout", "unconnected", "reset", "error"})
 Verdict = tuple
@@ -65,6 +67,10 @@
         self.value, self.floor, self.held, self.peak = start, floor, 0, 0
         self.present = Ring(1000.0, 4)
 
+    def take(self) -> None:
+        self.held += 1
+        self.peak = max(self.peak, self.held)
+
     def review(self, now: float) -> None:
         if self.present.count(now) >= 3:
             ratio = min(1.0, max(0.5, 2.0 / max(self.present.mean(now), 0.1)))
@@ -118,6 +124,8 @@
         self.retries = 10.0
         self.carried = 0.0  # completed by a warm cache, per ms and unit of weight, this proxy's share
         self.fetching: dict[int, int] = {}  # keys asked of the origin by this proxy
+        self.holders: list[dict[int, str]] = [{}, {}]  # by key, the cache last seen to hold it; newer, older
+        self.turn_at = now + HOLDS
         quotas = {t["name"]: t.get("quota") or 0.0 for t in deployment.get("tenants") or []}
         self.quota = {name: quota / 1000.0 / self.proxies for name, quota in quotas.items()}
         self.purse = {name: [quota * 500.0, now] for name, quota in self.quota.items()}
@@ -202,6 +210,8 @@
                 weight += cache.weight
         if weight and done:
             self.carried = max(done / weight / 4000.0, self.carried * 0.98)
+        if now >= self.turn_at:
+            self.holders, self.turn_at = [{}, self.holders[0]], now + HOLDS
         self._judge(now)
         if self.overloaded != (self.fleet.held > self.fleet.value):
             self.overloaded = not self.overloaded
@@ -281,9 +291,13 @@
         if not ranking:
             return None
         bar = 2.0
+        # Guards against spills that fill a busy origin: a neighbour that lacks the key has to fetch it.
+        busy = self.origin.held > 0.5 * self.origin.value and not rpc.sent
         for cache in ranking:
-            if cache.held <= bar:
+            if cache.held <= bar and (cache is ranking[0] or not busy or self._holds(cache, key)):
                 return cache
+        if busy:
+            return ranking[0]
         return min(ranking, key=lambda c: c.held)
 
     def _allowed(self, now: float, rpc: Rpc, cache: Cache) -> bool:
@@ -345,23 +359,33 @@
         cache = self._choose(now, rpc)
         if cache is None:
             return self._later(now, rpc, method)
+        fetch = not self.aside and (rpc.write or not self._holds(cache, rpc.key))
+        # Guards against a jam behind the caches: what is likely to need the origin waits for room there.
+        if fetch and self.origin.held >= self.origin.value * self._bar(rpc):
+            return self._later(now, rpc, method)
+        return self._send(now, rpc, cache, fetch)
+
+    def _holds(self, cache: Cache, key: int | None) -> bool:
+        return (self.holders[0].get(key) or self.holders[1].get(key)) == cache.name
+
+    def _send(self, now: float, rpc: Rpc, cache: Cache, fetch: bool) -> Verdict:
         cache.held += 1
-        self.fleet.held += 1
-        self.fleet.peak = max(self.fleet.peak, self.fleet.held)
         cache.sent.add(now)
-        return "send", cache.name, room
+        if cache not in self.origins:
+            self.fleet.take()
+        if fetch:
+            self.origin.take()
+        rpc.sent.append(Transmission(cache.name, now, fetch))
+        return "send", cache.name, rpc.until - now
 
     def _to_origin(self, now: float, rpc: Rpc, method: dict) -> Verdict:
         origin = next((o for o in self.origins if o.ready), None)
         bar = 1.0 if rpc.write else self._bar(rpc) * 0.8
         if origin is None or self.origin.held >= self.origin.value * bar:
             return self._later(now, rpc, method)
-        origin.held += 1
-        self.origin.held += 1
-        self.origin.peak = max(self.origin.peak, self.origin.held)
         if rpc.key is not None and not rpc.write:
             self.fetching[rpc.key] = self.fetching.get(rpc.key, 0) + 1
-        return "send", origin.name, rpc.until - now
+        return self._send(now, rpc, origin, True)
 
     def _may_send(self, now: float, rpc: Rpc, method: dict) -> bool:
         """Rule 2: whether another transmission may have an effect twice."""
@@ -397,10 +421,13 @@
         tx = rpc.sent[number]
         outcome, method = tx.outcome, self.methods[rpc.method]
         cache = self.caches.get(tx.cache)
+        if tx.fetch:
+            self.origin.held -= 1
         if cache is None:
-            self._from_origin(now, rpc, tx.cache, outcome, took)
+            self._from_origin(now, rpc, outcome, took)
         else:
-            self._learn(now, rpc, cache, outcome, took, note)
+            cache.held -= 1
+            self._learn(now, rpc, cache, outcome, took, note, tx.fetch)
         if rpc.over or rpc.bound:
             return None
         if outcome == "missed":
@@ -424,27 +451,37 @@
         self.retries -= 1
         return True
 
-    def _learn(self, now: float, rpc: Rpc, cache: Cache, outcome: str, took: float, note: str | None) -> None:
-        cache.held -= 1
+    def _learn(self, now: float, rpc: Rpc, cache: Cache, outcome: str, took: float, note: str | None,
+               fetch: bool) -> None:
         self.fleet.held -= 1
-        usual = max(self.typical[rpc.method], 1.0)
-        pace = min(took / usual, 10.0)
+        pace = min(took / max(self.typical[rpc.method], 1.0), 10.0)
+        # A slow origin is not the cache's: an answer that took a fetch is measured apart.
+        fetched = note == "fetched" or (rpc.write and not self.aside)
         if outcome == "completed":
             cache.streak = 0
             cache.done.add(now)
-            self.usual[rpc.method].add(now, took)
-            cache.pace.add(now, pace)
-            self.fleet.present.add(now, pace)
+            if fetched:
+                self._fetched(now, took)
+            else:
+                self.usual[rpc.method].add(now, took)
+                cache.pace.add(now, pace)
+                self.fleet.present.add(now, pace)
+            if rpc.key is not None:
+                if rpc.write:
+                    self.holders[0].pop(rpc.key, None)
+                    self.holders[1].pop(rpc.key, None)
+                else:
+                    self.holders[0][rpc.key] = cache.name
         elif outcome == "missed":
             cache.streak = 0
         elif outcome == "full":
             self.fleet.present.add(now, 8.0)
-        elif outcome == "error":
-            # Guards against a slow origin behind the caches: its fetches end in errors at all caches alike.
-            self.fleet.present.add(now, 6.0)
-        elif outcome == "timeout":
-            cache.pace.add(now, pace)
-            self.fleet.present.add(now, pace)
+        elif outcome in ("error", "timeout"):
+            if fetch:
+                self.origin.present.add(now, 6.0)
+            else:
+                cache.pace.add(now, pace)
+                self.fleet.present.add(now, 6.0 if outcome == "error" else pace)
         elif outcome in ("unconnected", "reset"):
             cache.streak += 1
             if cache.streak == 2:
@@ -452,10 +489,11 @@
         if cache.aside_since is not None and outcome != "cancelled":
             self._trickled(now, cache, outcome in ("completed", "missed", "full") and pace < 3.0)
 
-    def _from_origin(self, now: float, rpc: Rpc, name: str, outcome: str, took: float) -> None:
-        origin = next(o for o in self.origins if o.name == name)
-        origin.held -= 1
-        self.origin.held -= 1
+    def _fetched(self, now: float, took: float) -> None:
+        self.fetches.add(now, took)
+        self.origin.present.add(now, min(took / max(self.fetch_usual, 1.0), 10.0))
+
+    def _from_origin(self, now: float, rpc: Rpc, outcome: str, took: float) -> None:
         if rpc.key is not None and not rpc.write:
             left = self.fetching.get(rpc.key, 1) - 1
             if left > 0:
@@ -463,8 +501,8 @@
             else:
                 self.fetching.pop(rpc.key, None)
         if outcome == "completed":
-            self.fetches.add(now, took)
-        if outcome in ("completed", "timeout"):
+            self._fetched(now, took)
+        elif outcome == "timeout":
             self.origin.present.add(now, min(took / max(self.fetch_usual, 1.0), 10.0))
         elif outcome != "cancelled":
             self.origin.present.add(now, 4.0)
--- a/calicofall/rpc.py
+++ b/calicofall/rpc.py
@@ -10,6 +10,7 @@
 class Transmission:
     cache: str
     at: float
+    fetch: bool = False  # the origin is asked, or may have to be
     outcome: str | None = None
 
     def may_have_run(self) -> bool:
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -3,7 +3,7 @@
 from itertools import count
 
 from calicofall.policy import Policy
-from calicofall.rpc import Rpc, Transmission
+from calicofall.rpc import Rpc
 
 numbers = count()
 
@@ -28,8 +28,6 @@
 
 def send(policy: Policy, now: float, rpc: Rpc) -> tuple | None:
     verdict = policy.where(now, rpc)
-    if verdict and verdict[0] == "send":
-        rpc.sent.append(Transmission(verdict[1], now))
-    elif verdict and verdict[0] != "wait":
+    if verdict and verdict[0] in ("exhausted", "errored"):
         rpc.over = True
     return verdict
