Limits fall fast, grow only when used, shortest answer times last a minute

Replaying lagos big-2 with both limits logged showed the origin's limit needing 10 s to come down from 28 while every fetch failed, and the shortest times drifting up in the jam.

--- a/calicofall/policy.py
+++ b/calicofall/policy.py
@@ -73,9 +73,11 @@
 
     def review(self, now: float) -> None:
         if self.present.count(now) >= 3:
-            ratio = min(1.0, max(0.5, 2.0 / max(self.present.mean(now), 0.1)))
-            if ratio < 1 or self.peak > self.value / 2:
-                self.value += 0.2 * (self.value * ratio + sqrt(self.value) - self.value)
+            ratio = max(0.5, 2.0 / max(self.present.mean(now), 0.1))
+            if ratio < 1:  # down by half a second's error at once: a jam feeds itself
+                self.value *= (1 + ratio) / 2
+            elif self.peak > 0.8 * self.value:
+                self.value += 0.2 * sqrt(self.value)
         self.value = max(self.floor, self.value)
         self.peak = self.held
 
@@ -116,9 +118,9 @@
         self.asks = deployment.get("discovery") == "ask"
         self.following, self.ask_at, self.ask_gap = False, now if self.asks else inf, 250.0
         # Measures
-        self.usual = {name: Ring(20_000.0, 10) for name in self.methods}  # completed answer times
+        self.usual = {name: Ring(60_000.0, 24) for name in self.methods}  # completed answer times
         self.typical = {name: method["soft_deadline"] / 3 for name, method in self.methods.items()}
-        self.fetches, self.fetch_usual = Ring(20_000.0, 10), min(self.typical.values(), default=50.0)
+        self.fetches, self.fetch_usual = Ring(60_000.0, 24), min(self.typical.values(), default=50.0)
         self.fleet = Limit(40.0, 4.0)
         self.origin = Limit(12.0, 2.0)
         self.retries = 10.0
