--- a/calicofall/policy.py
+++ b/calicofall/policy.py
@@ -63,8 +63,8 @@
 class Limit:
     """An in-flight limit that follows the shortest answer time over the present one."""
 
-    def __init__(self, start: float, floor: float) -> None:
-        self.value, self.floor, self.held, self.peak = start, floor, 0, 0
+    def __init__(self, start: float, floor: float, slack: float) -> None:
+        self.value, self.floor, self.slack, self.held, self.peak = start, floor, slack, 0, 0
         self.present = Ring(1000.0, 4)
 
     def take(self) -> None:
@@ -73,7 +73,7 @@
 
     def review(self, now: float) -> None:
         if self.present.count(now) >= 3:
-            ratio = max(0.5, 2.0 / max(self.present.mean(now), 0.1))
+            ratio = max(0.5, self.slack / max(self.present.mean(now), 0.1))
             if ratio < 1:  # down by half a second's error at once: a jam feeds itself
                 self.value *= (1 + ratio) / 2
             elif self.peak > 0.8 * self.value:
@@ -121,8 +121,8 @@
         self.usual = {name: Ring(60_000.0, 24) for name in self.methods}  # completed answer times
         self.typical = {name: method["soft_deadline"] / 3 for name, method in self.methods.items()}
         self.fetches, self.fetch_usual = Ring(60_000.0, 24), min(self.typical.values(), default=50.0)
-        self.fleet = Limit(40.0, 4.0)
-        self.origin = Limit(12.0, 2.0)
+        self.fleet = Limit(40.0, 4.0, 2.5)
+        self.origin = Limit(12.0, 2.0, 2.0)
         self.retries = 10.0
         self.carried = 0.0  # completed by a warm cache, per ms and unit of weight, this proxy's share
         self.fetching: dict[int, int] = {}  # keys asked of the origin by this proxy
@@ -467,7 +467,7 @@
             else:
                 self.usual[rpc.method].add(now, took)
                 cache.pace.add(now, pace)
-                self.fleet.present.add(now, pace)
+                self.fleet.present.add(now, min(pace, 5.0))
             if rpc.key is not None:
                 if rpc.write:
                     self.holders[0].pop(rpc.key, None)
