--- a/calicofall/policy.py
+++ b/calicofall/policy.py
@@ -64,22 +64,24 @@
     """An in-flight limit that follows the shortest answer time over the present one."""
 
     def __init__(self, start: float, floor: float, slack: float) -> None:
-        self.value, self.floor, self.slack, self.held, self.peak = start, floor, slack, 0, 0
+        self.value, self.floor, self.slack, self.held, self.short = start, floor, slack, 0, False
         self.present = Ring(1000.0, 4)
 
-    def take(self) -> None:
-        self.held += 1
-        self.peak = max(self.peak, self.held)
+    def room(self, part: float) -> bool:
+        """Whether a part of the limit is still free; it may grow only where something was turned away."""
+        free = self.held < self.value * part
+        self.short = self.short or not free
+        return free
 
     def review(self, now: float) -> None:
         if self.present.count(now) >= 3:
             ratio = max(0.5, self.slack / max(self.present.mean(now), 0.1))
             if ratio < 1:  # down by half a second's error at once: a jam feeds itself
                 self.value *= (1 + ratio) / 2
-            elif self.peak > 0.8 * self.value:
+            elif self.short:
                 self.value += 0.2 * sqrt(self.value)
         self.value = max(self.floor, self.value)
-        self.peak = self.held
+        self.short = False
 
 
 class Cache:
@@ -356,14 +358,14 @@
             return self._give_up(rpc, method)
         if self.aside and (rpc.write or rpc.missed or len(rpc.sent) >= self.most - 1):
             return self._to_origin(now, rpc, method)
-        if not rpc.sent and self.fleet.held >= self.fleet.value * self._bar(rpc):
+        if not rpc.sent and not self.fleet.room(self._bar(rpc)):
             return self._later(now, rpc, method)
         cache = self._choose(now, rpc)
         if cache is None:
             return self._later(now, rpc, method)
         fetch = not self.aside and (rpc.write or not self._holds(cache, rpc.key))
         # Guards against a jam behind the caches: what is likely to need the origin waits for room there.
-        if fetch and self.origin.held >= self.origin.value * self._bar(rpc):
+        if fetch and not self.origin.room(self._bar(rpc)):
             return self._later(now, rpc, method)
         return self._send(now, rpc, cache, fetch)
 
@@ -374,16 +376,16 @@
         cache.held += 1
         cache.sent.add(now)
         if cache not in self.origins:
-            self.fleet.take()
+            self.fleet.held += 1
         if fetch:
-            self.origin.take()
+            self.origin.held += 1
         rpc.sent.append(Transmission(cache.name, now, fetch))
         return "send", cache.name, rpc.until - now
 
     def _to_origin(self, now: float, rpc: Rpc, method: dict) -> Verdict:
         origin = next((o for o in self.origins if o.ready), None)
         bar = 1.0 if rpc.write else self._bar(rpc) * 0.8
-        if origin is None or self.origin.held >= self.origin.value * bar:
+        if origin is None or not self.origin.room(bar):
             return self._later(now, rpc, method)
         if rpc.key is not None and not rpc.write:
             self.fetching[rpc.key] = self.fetching.get(rpc.key, 0) + 1
