--- a/calicofall/policy.py
+++ b/calicofall/policy.py
@@ -124,7 +124,7 @@
         self.typical = {name: method["soft_deadline"] / 3 for name, method in self.methods.items()}
         self.fetches, self.fetch_usual = Ring(60_000.0, 24), min(self.typical.values(), default=50.0)
         self.fleet = Limit(40.0, 4.0, 2.5)
-        self.origin = Limit(12.0, 2.0, 2.0)
+        self.origin = Limit(12.0, 2.0, 2.5)
         self.retries = 10.0
         self.carried = 0.0  # completed by a warm cache, per ms and unit of weight, this proxy's share
         self.fetching: dict[int, int] = {}  # keys asked of the origin by this proxy
