--- a/calicofall/policy.py
+++ b/calicofall/policy.py
@@ -298,7 +298,7 @@
         # Guards against spills that fill a busy origin: a neighbour that lacks the key has to fetch it.
         busy = self.origin.held > 0.5 * self.origin.value and not rpc.sent
         for cache in ranking:
-            if cache.held <= bar and (cache is ranking[0] or not busy or self._holds(cache, key)):
+            if cache.held < bar and (cache is ranking[0] or not busy or self._holds(cache, key)):
                 return cache
         if busy:
             return ranking[0]
