--- a/calicofall/policy.py
+++ b/calicofall/policy.py
@@ -134,7 +134,7 @@
         self.quota = {name: quota / 1000.0 / self.proxies for name, quota in quotas.items()}
         self.purse = {name: [quota * 500.0, now] for name, quota in self.quota.items()}
         self.asked = {name: Ring(4000.0, 8) for name in self.quota}
-        self.scale = 1.0
+        self.scale = self.middle = 1.0
         gains = {name: method.get("gain") or 1.0 for name, method in self.methods.items()}
         top = max(gains.values(), default=1.0)
         self.rank = {name: gain / top for name, gain in gains.items()}
@@ -227,8 +227,9 @@
     def _judge(self, now: float) -> None:
         """Set aside the few caches that are far slower than their peers or do not answer."""
         paces = {c.name: c.pace.mean(now) for _, c in self.usable
-                 if c.pace.count(now) >= 3 and not self._cold(now, c)}
+                 if c.pace.count(now) >= 6 and not self._cold(now, c)}
         middle = sorted(paces.values())[len(paces) // 2] if paces else 1.0
+        self.middle = max(middle, 1.0)
         few = max(1, int(0.3 * sum(c.ready for c in self.caches.values())))
         changed = False
         for cache in sorted(self.caches.values(), key=lambda c: -paces.get(c.name, 0.0)):
@@ -236,7 +237,7 @@
             if cache.aside_since is not None or not cache.ready or out >= few:
                 continue
             pace = paces.get(cache.name, 0.0)
-            if cache.streak >= 2 or (len(paces) >= 3 and pace > 3.0 * max(middle, 1.0)):
+            if cache.streak >= 2 or (len(paces) >= 3 and pace > 3.0 * self.middle):
                 cache.aside_since, cache.gap = now, 1000.0
                 cache.trickle_at = now + cache.gap
                 changed = True
@@ -468,7 +469,7 @@
                 self._fetched(now, took)
             else:
                 self.usual[rpc.method].add(now, took)
-                cache.pace.add(now, pace)
+                cache.pace.add(now, min(pace, 6.0))
                 self.fleet.present.add(now, min(pace, 5.0))
             if rpc.key is not None:
                 if rpc.write:
@@ -491,7 +492,8 @@
             if cache.streak == 2:
                 self.review_at = now
         if cache.aside_since is not None and outcome != "cancelled":
-            self._trickled(now, cache, outcome in ("completed", "missed", "full") and pace < 3.0)
+            fine = outcome in ("completed", "missed", "full") and pace < 2.0 * self.middle
+            self._trickled(now, cache, fine)
 
     def _fetched(self, now: float, took: float) -> None:
         self.fetches.add(now, took)
