--- /dev/null
+++ b/tests/test_rules.py
@@ -0,0 +1,123 @@
+"""A slow, plain model of the four rules watches the module on generated days."""
+
+from random import Random
+
+import pytest
+from helpers import fleet, rpc_for
+
+from calicofall.policy import Policy
+from calicofall.rpc import Rpc
+
+FAILED = ["error", "full", "timeout", "unconnected", "reset", "missed", "cancelled", "moot"]
+OUTCOMES = ["completed"] * 12 + FAILED
+NEVER_RAN = {"full", "unconnected", "moot", "missed"}
+
+
+class Watch:
+    """The rules in their plainest form, from every send, outcome and list this proxy had."""
+
+    def __init__(self, deployment: dict) -> None:
+        self.methods = {m["name"]: m for m in deployment["methods"]}
+        self.rules, self.most = deployment["rules"], deployment["caps"]["most_transmissions"]
+        self.aside = deployment["data"]["mode"] == "aside"
+        self.told: dict[str, float] = {}
+        self.named: set[str] = set()
+        self.cells: dict[str, int] = {}
+        self.history: dict[str, list[list]] = {}
+        self.answered: set[str] = set()
+
+    def listed(self, now: float, entries: list[tuple]) -> None:
+        for cache, _, _, cell, state, _, _ in entries:
+            self.named.add(cache)
+            self.cells[cache] = cell
+            if state == "ready":
+                self.told.pop(cache, None)
+            else:
+                self.told.setdefault(cache, now)
+
+    def may_send(self, now: float, rpc: Rpc, cache: str) -> bool:
+        past = self.history.setdefault(rpc.id, [])
+        ran = [(at, where) for at, where, outcome in past if outcome not in NEVER_RAN]
+        method = self.methods[rpc.method]
+        out = any(outcome is None for _, _, outcome in past)
+        again = not ran or method["repeats"] == "retriable" or (
+            method["repeats"] == "deduped" and now <= ran[0][0] + method["window"]
+            and (method["group"] == "all" or self.cells[ran[0][1]] == self.cells[cache]))
+        drained = cache in self.told and now > self.told[cache] + self.rules["drain_grace"]
+        right = not self.aside or not rpc.write or cache == "o"
+        return again and right and not out and not drained and cache in self.named and len(past) < self.most \
+            and rpc.id not in self.answered and now < rpc.until
+
+    def may_exhaust(self, rpc: Rpc) -> bool:
+        method = self.methods[rpc.method]
+        harmless = method["repeats"] == "deduped" and method["group"] == "all"
+        never_ran = all(outcome in NEVER_RAN for _, _, outcome in self.history.get(rpc.id, []))
+        return method["repeats"] == "retriable" or harmless or never_ran
+
+
+@pytest.mark.parametrize("seed", range(24))
+def test_what_the_module_does_is_allowed(seed: int) -> None:
+    chance = Random(seed)
+    deployment = fleet(aside=seed % 2 == 0, proxies=chance.choice([1, 3]))
+    deployment["methods"][1]["group"] = chance.choice(["all", "cell"])
+    deployment["methods"][1]["window"] = chance.choice([300.0, 5000.0])
+    deployment["discovery"] = chance.choice(["push", "ask"])
+    policy, watch = Policy(deployment, seed, 0.0), Watch(deployment)
+    names, hand, pending, due, version, now = [f"c{i}" for i in range(6)], {}, [], [], 0, 0.0
+
+    def entries(some: list[str]) -> list[tuple]:
+        out = [(n, "z", "box", int(n[1:]) % 2, chance.choice(["ready"] * 4 + ["draining", "gone"]),
+                chance.choice([None, 2.0]), chance.choice([0.0, now])) for n in some]
+        return out + ([("o", "z", "origin", 9, "ready", None, 0.0)] if watch.aside else [])
+
+    def act(rpc: Rpc, verdict: tuple | None) -> None:
+        if verdict is None:
+            return
+        assert rpc.id not in watch.answered
+        if verdict[0] == "send":
+            assert watch.may_send(now, rpc, verdict[1])
+            watch.history[rpc.id].append([now, verdict[1], None])
+            pending.append((now + chance.expovariate(1 / 150), rpc, len(rpc.sent) - 1))
+        elif verdict[0] == "wait":
+            assert now + verdict[1] < rpc.until
+            due.append((now + verdict[1], rpc))
+        else:
+            assert verdict[0] == "errored" or watch.may_exhaust(rpc)
+            watch.answered.add(rpc.id)
+            rpc.over = True
+
+    while now < 20_000.0:
+        now += 5.0
+        if chance.random() < 0.01 or now == 5.0:
+            version += 1
+            kind = "cached" if now == 5.0 else chance.choice(["delta", "full", "failed"])
+            news = [] if kind == "failed" else entries(chance.sample(names, 2) if kind == "delta" else names)
+            if kind == "full":
+                watch.listed(now, [(n, "z", "box", 0, "gone", None, 0.0) for n in watch.named - {"o"}])
+            watch.listed(now, news)
+            policy.listed(now, kind, version, news)
+        for at, rpc, number in [p for p in pending if p[0] <= now or p[1].until <= now]:
+            pending.remove((at, rpc, number))
+            outcome = "timeout" if rpc.until <= now else chance.choice(OUTCOMES)
+            watch.history[rpc.id][number][2] = rpc.sent[number].outcome = outcome
+            if outcome == "completed" and not rpc.over:
+                rpc.over = True
+                watch.answered.add(rpc.id)
+            act(rpc, policy.after(now, rpc, number, now - rpc.sent[number].at, chance.choice([None, "hit",
+                                  "fetched", "fetching"]), None))
+        for at, rpc in [d for d in due if d[0] <= now]:
+            due.remove((at, rpc))
+            if not rpc.over:
+                act(rpc, policy.where(now, rpc))
+        for rpc in [r for r in hand.values() if not r.over and chance.random() < 0.0005]:
+            rpc.over = True  # the client leaves; its outcomes still come
+            watch.answered.add(rpc.id)
+            policy.left(now, rpc)
+        if chance.random() < 0.3:
+            method, key = chance.choice(["read", "read", "save", "order"]), chance.choice([None, 1, 2, 3])
+            rpc = rpc_for(method, key, now, now + chance.uniform(20.0, 1500.0))
+            hand[rpc.id] = rpc
+            act(rpc, policy.where(now, rpc))
+        policy.wait(now)
+    overdue = [r for r in hand.values() if r.id not in watch.answered and r.until + 20.0 < now]
+    assert not overdue and len(watch.answered) > 500
