Silent caches are set aside; limits shrink once a second and skip sick caches

RPCs stuck for the client's whole patience filled the fleet's limit, their time-outs shrank it to its floor, and the same bad second was counted four times. A cache with two RPCs in hand and no word for a soft deadline, while most others speak, is set aside; what is stuck there takes no room; the floor is one RPC a cache over all proxies.

--- a/calicofall/policy.py
+++ b/calicofall/policy.py
@@ -65,7 +65,7 @@
 
     def __init__(self, start: float, floor: float, slack: float) -> None:
         self.value, self.floor, self.slack, self.held, self.short = start, floor, slack, 0, False
-        self.present = Ring(1000.0, 4)
+        self.present, self.fell_at = Ring(1000.0, 4), 0.0
 
     def room(self, part: float) -> bool:
         """Whether a part of the limit is still free; it may grow only where something was turned away."""
@@ -76,10 +76,10 @@
     def review(self, now: float) -> None:
         if self.present.count(now) >= 3:
             ratio = max(0.5, self.slack / max(self.present.mean(now), 0.1))
-            if ratio < 1:  # down by half a second's error at once: a jam feeds itself
-                self.value *= (1 + ratio) / 2
-            elif self.short:
-                self.value += 0.2 * sqrt(self.value)
+            if ratio < 1 and now - self.fell_at >= 1000.0:  # the same answers shrink it once
+                self.value, self.fell_at = self.value * ratio, now
+            elif ratio >= 1 and self.short:
+                self.value += 0.3 * sqrt(self.value)
         self.value = max(self.floor, self.value)
         self.short = False
 
@@ -90,7 +90,7 @@
     def __init__(self, name: str) -> None:
         self.name, self.salt = name, point(name.encode()) | 1
         self.weight, self.started, self.ready, self.cell, self.zone = 1.0, 0.0, True, 0, ""
-        self.held = 0
+        self.held, self.heard = 0, 0.0  # last heard of, or first waited for
         self.pace = Ring(3000.0, 6)  # answer time over what is usual for the method
         self.done = Ring(4000.0, 8)
         self.sent = Ring(1000.0, 8)
@@ -152,7 +152,8 @@
         if kind != "cached" and self.asks:
             self.following, self.ask_at, self.ask_gap = True, inf, 250.0
         if not self.caches:  # the first list: a start to find the limits from
-            self.fleet.value = max(self.fleet.floor, 6.0 * len(entries) / self.proxies)
+            self.fleet.floor = max(4.0, len(entries) / self.proxies)  # each cache works on one RPC at least
+            self.fleet.value = 6.0 * self.fleet.floor
         if kind != "delta":
             for cache in [*self.caches.values(), *self.origins]:
                 cache.ready = False
@@ -230,14 +231,19 @@
                  if c.pace.count(now) >= 6 and not self._cold(now, c)}
         middle = sorted(paces.values())[len(paces) // 2] if paces else 1.0
         self.middle = max(middle, 1.0)
-        few = max(1, int(0.3 * sum(c.ready for c in self.caches.values())))
+        # Guards against caches that keep what they get and say nothing, long before time-outs tell.
+        hush = max(min(m["soft_deadline"] for m in self.methods.values()), 3.0 * self.fetch_usual)
+        busy = [c for _, c in self.usable if c.held]
+        silent = [c for c in busy if c.held >= 2 and now - c.heard > hush]
+        silent = silent if 2 * len(silent) < len(busy) else []
+        few = max(1, int((0.5 if silent else 0.3) * sum(c.ready for c in self.caches.values())))
         changed = False
         for cache in sorted(self.caches.values(), key=lambda c: -paces.get(c.name, 0.0)):
             out = sum(c.ready and c.aside_since is not None for c in self.caches.values())
             if cache.aside_since is not None or not cache.ready or out >= few:
                 continue
             pace = paces.get(cache.name, 0.0)
-            if cache.streak >= 2 or (len(paces) >= 3 and pace > 3.0 * self.middle):
+            if cache.streak >= 2 or cache in silent or (len(paces) >= 3 and pace > 3.0 * self.middle):
                 cache.aside_since, cache.gap = now, 1000.0
                 cache.trickle_at = now + cache.gap
                 changed = True
@@ -259,6 +265,7 @@
     def _refresh(self, now: float) -> None:
         self.usable = [(self._weight(now, c), c) for c in self.caches.values()
                        if c.ready and c.aside_since is None]
+        self.fleet.held = sum(c.held for _, c in self.usable)  # what is stuck elsewhere takes no room
         self.rankings.clear()
 
     def _weight(self, now: float, cache: Cache) -> float:
@@ -374,10 +381,11 @@
         return (self.holders[0].get(key) or self.holders[1].get(key)) == cache.name
 
     def _send(self, now: float, rpc: Rpc, cache: Cache, fetch: bool) -> Verdict:
+        if not cache.held:
+            cache.heard = now
         cache.held += 1
         cache.sent.add(now)
-        if cache not in self.origins:
-            self.fleet.held += 1
+        self.fleet.held += cache not in self.origins and cache.aside_since is None
         if fetch:
             self.origin.held += 1
         rpc.sent.append(Transmission(cache.name, now, fetch))
@@ -431,7 +439,7 @@
         if cache is None:
             self._from_origin(now, rpc, outcome, took)
         else:
-            cache.held -= 1
+            cache.held, cache.heard = cache.held - 1, now
             self._learn(now, rpc, cache, outcome, took, note, tx.fetch)
         if rpc.over or rpc.bound:
             return None
@@ -458,8 +466,10 @@
 
     def _learn(self, now: float, rpc: Rpc, cache: Cache, outcome: str, took: float, note: str | None,
                fetch: bool) -> None:
-        self.fleet.held -= 1
+        self.fleet.held -= cache.ready and cache.aside_since is None
         pace = min(took / max(self.typical[rpc.method], 1.0), 10.0)
+        # Guards against a few sick caches shrinking the limit for all.
+        load = self.fleet.present if cache.aside_since is None else Ring(1000.0, 1)
         # A slow origin is not the cache's: an answer that took a fetch is measured apart.
         fetched = note == "fetched" or (rpc.write and not self.aside)
         if outcome == "completed":
@@ -470,7 +480,7 @@
             else:
                 self.usual[rpc.method].add(now, took)
                 cache.pace.add(now, min(pace, 6.0))
-                self.fleet.present.add(now, min(pace, 5.0))
+                load.add(now, min(pace, 5.0))
             if rpc.key is not None:
                 if rpc.write:
                     self.holders[0].pop(rpc.key, None)
@@ -480,13 +490,13 @@
         elif outcome == "missed":
             cache.streak = 0
         elif outcome == "full":
-            self.fleet.present.add(now, 8.0)
+            load.add(now, 8.0)
         elif outcome in ("error", "timeout"):
             if fetch:
                 self.origin.present.add(now, 6.0)
             else:
                 cache.pace.add(now, pace)
-                self.fleet.present.add(now, 6.0 if outcome == "error" else pace)
+                load.add(now, 6.0 if outcome == "error" else pace)
         elif outcome in ("unconnected", "reset"):
             cache.streak += 1
             if cache.streak == 2:
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -36,3 +36,19 @@
     assert len(owners) == 1
     policy.origin.held = 0
     assert send(policy, 0.0, rpc_for("read"))[1] not in owners
+
+
+def test_a_silent_cache_is_set_aside_before_time_outs_tell() -> None:
+    """Caches cut off kept what they got for the client's whole patience, and shrank the limit for all."""
+    policy = Policy(fleet(), 1, 0.0)
+    policy.listed(0.0, "full", 1, [(f"c{i}", "z", "box", 0, "ready", None, 0.0) for i in range(8)])
+    for now in range(0, 3000, 10):
+        rpc = rpc_for("read", now % 97, now, now + 2000.0)
+        verdict = send(policy, now, rpc)
+        if verdict[0] == "send" and verdict[1] != "c3":
+            rpc.sent[0].outcome, rpc.over = "completed", True
+            policy.after(now + 5.0, rpc, 0, 50.0, "hit", None)
+        policy.wait(now)
+    assert policy.caches["c3"].aside_since is not None
+    assert all(c.aside_since is None for c in policy.caches.values() if c.name != "c3")
+    assert policy.fleet.held < 10
