Silence counts against the caches that spoke lately

The small test for silent caches failed: with quick answers only the silent cache has anything in hand, so it was always most of them.

--- a/calicofall/policy.py
+++ b/calicofall/policy.py
@@ -233,9 +233,9 @@
         self.middle = max(middle, 1.0)
         # Guards against caches that keep what they get and say nothing, long before time-outs tell.
         hush = max(min(m["soft_deadline"] for m in self.methods.values()), 3.0 * self.fetch_usual)
-        busy = [c for _, c in self.usable if c.held]
-        silent = [c for c in busy if c.held >= 2 and now - c.heard > hush]
-        silent = silent if 2 * len(silent) < len(busy) else []
+        silent = [c for _, c in self.usable if c.held >= 2 and now - c.heard > hush]
+        if len(silent) > sum(now - c.heard <= hush for _, c in self.usable):
+            silent = []  # most of them: not theirs
         few = max(1, int((0.5 if silent else 0.3) * sum(c.ready for c in self.caches.values())))
         changed = False
         for cache in sorted(self.caches.values(), key=lambda c: -paces.get(c.name, 0.0)):
