--- a/calicofall/policy.py
+++ b/calicofall/policy.py
@@ -65,7 +65,7 @@
 
     def __init__(self, start: float, floor: float, slack: float) -> None:
         self.value, self.floor, self.slack, self.held, self.short = start, floor, slack, 0, False
-        self.present, self.fell_at = Ring(1000.0, 4), 0.0
+        self.present, self.fell_at, self.tight_at = Ring(1000.0, 4), 0.0, -inf
 
     def room(self, part: float) -> bool:
         """Whether a part of the limit is still free; it may grow only where something was turned away."""
@@ -338,7 +338,8 @@
         quota = self.quota.get(rpc.tenant)
         if not quota:
             return quota is None
-        self.asked[rpc.tenant].add(now)
+        if not rpc.repeat:  # guards against clients' repeats making every tenant look over its share
+            self.asked[rpc.tenant].add(now)
         purse = self.purse[rpc.tenant]
         rate = quota * self.scale
         purse[0] = min(rate * 1000.0 + 1, purse[0] + rate * (now - purse[1]))
@@ -348,9 +349,14 @@
             return True
         return False
 
-    def _bar(self, rpc: Rpc) -> float:
-        """The part of a limit that this RPC may fill: least gain first out."""
-        return 0.75 + 0.25 * self.rank[rpc.method] if rpc.within_share else 0.5
+    def _room(self, now: float, limit: Limit, rpc: Rpc, part: float = 1.0) -> bool:
+        """Whether this RPC finds room: least gain first out, over its share only what the others leave."""
+        if not rpc.within_share:
+            return limit.room(0.5 * part) and now - limit.tight_at > 1000.0
+        free = limit.room(part * (0.75 + 0.25 * self.rank[rpc.method]))
+        if not free:
+            limit.tight_at = now
+        return free
 
     # Where to send this RPC
 
@@ -366,14 +372,14 @@
             return self._give_up(rpc, method)
         if self.aside and (rpc.write or rpc.missed or len(rpc.sent) >= self.most - 1):
             return self._to_origin(now, rpc, method)
-        if not rpc.sent and not self.fleet.room(self._bar(rpc)):
+        if not rpc.sent and not self._room(now, self.fleet, rpc):
             return self._later(now, rpc, method)
         cache = self._choose(now, rpc)
         if cache is None:
             return self._later(now, rpc, method)
         fetch = not self.aside and (rpc.write or not self._holds(cache, rpc.key))
         # Guards against a jam behind the caches: what is likely to need the origin waits for room there.
-        if fetch and not self.origin.room(self._bar(rpc)):
+        if fetch and not self._room(now, self.origin, rpc):
             return self._later(now, rpc, method)
         return self._send(now, rpc, cache, fetch)
 
@@ -393,8 +399,7 @@
 
     def _to_origin(self, now: float, rpc: Rpc, method: dict) -> Verdict:
         origin = next((o for o in self.origins if o.ready), None)
-        bar = 1.0 if rpc.write else self._bar(rpc) * 0.8
-        if origin is None or not self.origin.room(bar):
+        if origin is None or not self._room(now, self.origin, rpc, 1.0 if rpc.write else 0.8):
             return self._later(now, rpc, method)
         if rpc.key is not None and not rpc.write:
             self.fetching[rpc.key] = self.fetching.get(rpc.key, 0) + 1
