--- a/calicofall/policy.py
+++ b/calicofall/policy.py
@@ -202,6 +202,9 @@
                  if self.fetches.counts[i] >= 4]
         if means:
             self.fetch_usual = min(means)
+            # Guards against a limit found in a jam: a fetch has to leave time within the soft deadline.
+            soonest = min(method["soft_deadline"] for method in self.methods.values())
+            self.origin.slack = min(2.5, max(1.2, 0.8 * soonest / self.fetch_usual))
         self.fleet.review(now)
         self.origin.review(now)
         fills = sorted(ring.count(now) / 4000.0 / self.quota[name] for name, ring in self.asked.items()
@@ -352,7 +355,7 @@
     def _room(self, now: float, limit: Limit, rpc: Rpc, part: float = 1.0) -> bool:
         """Whether this RPC finds room: least gain first out, over its share only what the others leave."""
         if not rpc.within_share:
-            return limit.room(0.5 * part) and now - limit.tight_at > 1000.0
+            return limit.room(0.5 * part) and now - limit.tight_at > 300.0
         free = limit.room(part * (0.75 + 0.25 * self.rank[rpc.method]))
         if not free:
             limit.tight_at = now
