--- a/calicofall/policy.py
+++ b/calicofall/policy.py
@@ -65,7 +65,7 @@
 
     def __init__(self, start: float, floor: float, slack: float) -> None:
         self.value, self.floor, self.slack, self.held, self.short = start, floor, slack, 0, False
-        self.present, self.fell_at, self.tight_at = Ring(1000.0, 4), 0.0, -inf
+        self.present, self.fell_at = Ring(1000.0, 4), 0.0
 
     def room(self, part: float) -> bool:
         """Whether a part of the limit is still free; it may grow only where something was turned away."""
@@ -104,6 +104,7 @@
         self.deployment, self.rules, self.caps = deployment, deployment["rules"], deployment["caps"]
         self.chance = Random(seed)
         self.methods = {method["name"]: method for method in deployment["methods"]}
+        self.soonest = min((m["soft_deadline"] for m in self.methods.values()), default=500.0)
         self.proxies = max(1, deployment.get("proxies") or 1)
         self.most = self.caps.get("most_transmissions") or 3
         data = deployment.get("data") or {}
@@ -145,6 +146,7 @@
     def listed(self, now: float, kind: str, version: int | None, entries: list[tuple]) -> None:
         if kind == "failed":
             self.following = False
+            self.errands.append(("log", f"list call failed: asked again after about {self.ask_gap:.0f} ms"))
             # Guards against all proxies asking again in step and filling the list's service once more.
             self.ask_at = now + self.ask_gap * self.chance.uniform(0.5, 1.5)
             self.ask_gap = min(self.ask_gap * 2, 4000.0)
@@ -202,9 +204,9 @@
                  if self.fetches.counts[i] >= 4]
         if means:
             self.fetch_usual = min(means)
-            # Guards against a limit found in a jam: a fetch has to leave time within the soft deadline.
-            soonest = min(method["soft_deadline"] for method in self.methods.values())
-            self.origin.slack = min(2.5, max(1.2, 0.8 * soonest / self.fetch_usual))
+            if self.aside:
+                # Guards against a limit found in a jam: a fetch has to leave time within the soft deadline.
+                self.origin.slack = min(2.5, max(1.2, 0.8 * self.soonest / self.fetch_usual))
         self.fleet.review(now)
         self.origin.review(now)
         fills = sorted(ring.count(now) / 4000.0 / self.quota[name] for name, ring in self.asked.items()
@@ -235,7 +237,7 @@
         middle = sorted(paces.values())[len(paces) // 2] if paces else 1.0
         self.middle = max(middle, 1.0)
         # Guards against caches that keep what they get and say nothing, long before time-outs tell.
-        hush = max(min(m["soft_deadline"] for m in self.methods.values()), 3.0 * self.fetch_usual)
+        hush = max(self.soonest, 3.0 * self.fetch_usual)
         silent = [c for _, c in self.usable if c.held >= 2 and now - c.heard > hush]
         if len(silent) > sum(now - c.heard <= hush for _, c in self.usable):
             silent = []  # most of them: not theirs
@@ -352,14 +354,9 @@
             return True
         return False
 
-    def _room(self, now: float, limit: Limit, rpc: Rpc, part: float = 1.0) -> bool:
-        """Whether this RPC finds room: least gain first out, over its share only what the others leave."""
-        if not rpc.within_share:
-            return limit.room(0.5 * part) and now - limit.tight_at > 300.0
-        free = limit.room(part * (0.75 + 0.25 * self.rank[rpc.method]))
-        if not free:
-            limit.tight_at = now
-        return free
+    def _room(self, limit: Limit, rpc: Rpc, part: float = 1.0) -> bool:
+        """Whether this RPC finds room: over its share first out, then by least gain."""
+        return limit.room(part * (0.75 + 0.25 * self.rank[rpc.method] if rpc.within_share else 0.5))
 
     # Where to send this RPC
 
@@ -375,14 +372,14 @@
             return self._give_up(rpc, method)
         if self.aside and (rpc.write or rpc.missed or len(rpc.sent) >= self.most - 1):
             return self._to_origin(now, rpc, method)
-        if not rpc.sent and not self._room(now, self.fleet, rpc):
+        if not rpc.sent and not self._room(self.fleet, rpc):
             return self._later(now, rpc, method)
         cache = self._choose(now, rpc)
         if cache is None:
             return self._later(now, rpc, method)
         fetch = not self.aside and (rpc.write or not self._holds(cache, rpc.key))
         # Guards against a jam behind the caches: what is likely to need the origin waits for room there.
-        if fetch and not self._room(now, self.origin, rpc):
+        if fetch and not self._room(self.origin, rpc):
             return self._later(now, rpc, method)
         return self._send(now, rpc, cache, fetch)
 
@@ -402,7 +399,7 @@
 
     def _to_origin(self, now: float, rpc: Rpc, method: dict) -> Verdict:
         origin = next((o for o in self.origins if o.ready), None)
-        if origin is None or not self._room(now, self.origin, rpc, 1.0 if rpc.write else 0.8):
+        if origin is None or not self._room(self.origin, rpc, 1.0 if rpc.write else 0.8):
             return self._later(now, rpc, method)
         if rpc.key is not None and not rpc.write:
             self.fetching[rpc.key] = self.fetching.get(rpc.key, 0) + 1
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -1,5 +1,6 @@
 """A small test for each failure found, the module alone."""
 
+import pytest
 from helpers import fleet, rpc_for, send
 
 from calicofall.policy import Policy
@@ -52,3 +53,31 @@
     assert policy.caches["c3"].aside_since is not None
     assert all(c.aside_since is None for c in policy.caches.values() if c.name != "c3")
     assert policy.fleet.held < 10
+
+
+def test_repeats_do_not_fill_a_tenants_share() -> None:
+    """Clients' repeats made every tenant look busy, and doubled what the greedy one might send."""
+    policy = Policy(fleet(tenants=[{"name": n, "quota": 10.0, "share": 0.5} for n in ("a", "b")]), 1, 0.0)
+    for now in range(0, 2000, 20):
+        rpc = rpc_for("read", now, now, now + 900.0, "a")
+        rpc.repeat = True
+        policy.where(now, rpc)
+        policy.wait(now)
+    assert policy.scale == 1.0
+
+
+@pytest.mark.parametrize("changes", [
+    {"tenants": [{"name": "a", "quota": 0.0}]}, {"proxies": None}, {"tenants": None}, {"caps": {}}, {},
+    {"rules": {}}, {"data": {}}, {"unheard_of": {"x": 1}}, {"data": {"mode": "aside", "origin_kind": 1}}])
+@pytest.mark.parametrize("caches", [0, 1, 3])
+def test_odd_deployments_leave_a_working_module(changes: dict, caches: int) -> None:
+    """An empty fleet, no origin, all caches cold or draining, settings absent: a stated answer each."""
+    policy = Policy(fleet(**changes), 1, 0.0)
+    policy.listed(0.0, "full", 1, [(f"c{i}", "z", "box", 0, "ready", None, 0.0) for i in range(caches)])
+    known = {send(policy, now, rpc_for("read", now, now, now + 90.0, "a"))[0] for now in range(0, 900, 30)}
+    assert known <= {"send", "wait", "exhausted"} and (caches == 0 or "send" in known)
+    policy.listed(950.0, "full", 2, [(f"c{i}", "z", "box", 0, "ready", None, 949.0) for i in range(caches)])
+    policy.wait(950.0)
+    assert send(policy, 960.0, rpc_for("order", 1, 960.0, 2000.0, "a"))[0] in {"send", "wait", "exhausted"}
+    policy.listed(970.0, "full", 3, [])
+    assert send(policy, 970.0, rpc_for("order", 1, 0.0, 1000.0, "a"))[0] == "exhausted"
