--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -81,3 +81,23 @@
     assert send(policy, 960.0, rpc_for("order", 1, 960.0, 2000.0, "a"))[0] in {"send", "wait", "exhausted"}
     policy.listed(970.0, "full", 3, [])
     assert send(policy, 970.0, rpc_for("order", 1, 0.0, 1000.0, "a"))[0] == "exhausted"
+
+
+def test_cold_caches_stay_within_this_proxys_part() -> None:
+    """In a rolling deploy most weights are low alike, so that a tenth of a weight caps nothing."""
+    policy, sends = Policy(fleet(proxies=2), 1, 0.0), {f"c{i}": [] for i in range(6)}
+    started = {c: 0.0 if c == "c0" else 5000.0 for c in sends}
+    policy.listed(0.0, "full", 1, [(c, "z", "box", 0, "ready", None, started[c]) for c in sends])
+    for now in range(5000, 12_000, 10):
+        rpc = rpc_for("read", now % 301, now, now + 900.0)
+        if send(policy, now, rpc)[0] == "send":
+            rpc.sent[0].outcome, rpc.over = "completed", True
+            sends[rpc.sent[0].cache].append(now)
+            policy.after(now + 1.0, rpc, 0, 30.0, "hit", None)
+        policy.wait(now)
+    warm = len(sends.pop("c0")) / 7000.0
+    for times in sends.values():
+        for start in times:
+            share = 0.2 + 0.8 * (start + 3000.0 - 5000.0) / 20_000.0
+            sent = sum(start <= at < start + 3000.0 for at in times)
+            assert sent <= 3.0 * share * 3000.0 * max(warm, 0.01) + 1
