--- a/calicofall/policy.py
+++ b/calicofall/policy.py
@@ -20,6 +20,7 @@
 PRIME = (1 << 61) - 1
 FADE = 20_000.0  # the design's ramp of a weight after the listed start
 HOLDS = 10_000.0  # what was seen to be held is believed for one to two of these
+SPILL = 2  # RPCs of this proxy in hand at an owner from which it spills: the design's floor
 REVIEW = 250.0  # between two looks at the measures
 FAILED = frozenset({"timeout", "unconnected", "reset", "error"})
 Verdict = tuple
@@ -54,6 +55,11 @@
     def count(self, now: float) -> float:
         return sum(self.counts[i] for i in self.live(now))
 
+    def shortest(self, now: float, default: float) -> float:
+        """The least mean of a bucket that saw enough to have one."""
+        means = [self.sums[i] / self.counts[i] for i in self.live(now) if self.counts[i] >= 4]
+        return min(means, default=default)
+
     def mean(self, now: float, default: float = 0.0) -> float:
         live = self.live(now)
         count = sum(self.counts[i] for i in live)
@@ -101,7 +107,7 @@
 
 class Policy:
     def __init__(self, deployment: dict, seed: int, now: float) -> None:
-        self.deployment, self.rules, self.caps = deployment, deployment["rules"], deployment["caps"]
+        self.rules, self.caps = deployment["rules"], deployment["caps"]
         self.chance = Random(seed)
         self.methods = {method["name"]: method for method in deployment["methods"]}
         self.soonest = min((m["soft_deadline"] for m in self.methods.values()), default=500.0)
@@ -115,11 +121,10 @@
         self.origins: list[Cache] = []
         self.usable: list[tuple[float, Cache]] = []  # ready, not set aside: (present weight, cache)
         self.rankings: dict[int, list[Cache]] = {}
-        self.version = -1
         self.errands: list[tuple] = []
         # Following the list
         self.asks = deployment.get("discovery") == "ask"
-        self.following, self.ask_at, self.ask_gap = False, now if self.asks else inf, 250.0
+        self.ask_at, self.ask_gap = now if self.asks else inf, 250.0
         # Measures
         self.usual = {name: Ring(60_000.0, 24) for name in self.methods}  # completed answer times
         self.typical = {name: method["soft_deadline"] / 3 for name, method in self.methods.items()}
@@ -145,14 +150,13 @@
 
     def listed(self, now: float, kind: str, version: int | None, entries: list[tuple]) -> None:
         if kind == "failed":
-            self.following = False
             self.errands.append(("log", f"list call failed: asked again after about {self.ask_gap:.0f} ms"))
             # Guards against all proxies asking again in step and filling the list's service once more.
             self.ask_at = now + self.ask_gap * self.chance.uniform(0.5, 1.5)
             self.ask_gap = min(self.ask_gap * 2, 4000.0)
             return
         if kind != "cached" and self.asks:
-            self.following, self.ask_at, self.ask_gap = True, inf, 250.0
+            self.ask_at, self.ask_gap = inf, 250.0
         if not self.caches:  # the first list: a start to find the limits from
             self.fleet.floor = max(4.0, len(entries) / self.proxies)  # each cache works on one RPC at least
             self.fleet.value = 6.0 * self.fleet.floor
@@ -180,7 +184,7 @@
         return [number for number, tx in enumerate(rpc.sent) if tx.outcome is None]
 
     def probed(self, now: float, name: str, fine: bool, took: float) -> None:
-        pass
+        """Probes are work for the caches and are not sent: RPCs tell as much."""
 
     # How long to wait
 
@@ -197,16 +201,11 @@
 
     def _review(self, now: float) -> None:
         for name, ring in self.usual.items():
-            means = [ring.sums[i] / ring.counts[i] for i in ring.live(now) if ring.counts[i] >= 4]
-            if means:
-                self.typical[name] = min(means)
-        means = [self.fetches.sums[i] / self.fetches.counts[i] for i in self.fetches.live(now)
-                 if self.fetches.counts[i] >= 4]
-        if means:
-            self.fetch_usual = min(means)
-            if self.aside:
-                # Guards against a limit found in a jam: a fetch has to leave time within the soft deadline.
-                self.origin.slack = min(2.5, max(1.2, 0.8 * self.soonest / self.fetch_usual))
+            self.typical[name] = ring.shortest(now, self.typical[name])
+        self.fetch_usual = self.fetches.shortest(now, self.fetch_usual)
+        if self.aside:
+            # Guards against a limit found in a jam: a fetch has to leave time within the soft deadline.
+            self.origin.slack = min(2.5, max(1.2, 0.8 * self.soonest / self.fetch_usual))
         self.fleet.review(now)
         self.origin.review(now)
         fills = sorted(ring.count(now) / 4000.0 / self.quota[name] for name, ring in self.asked.items()
@@ -258,11 +257,12 @@
             self._refresh(now)
 
     def _trickled(self, now: float, cache: Cache, fine: bool) -> None:
+        """A set-aside cache gets twice as many RPCs after each good answer, half as many after a bad one."""
         cache.gap = cache.gap / 2 if fine else min(4000.0, cache.gap * 2)
         cache.trickle_at = now + cache.gap
         if cache.gap < 60.0:
+            self.errands.append(("log", f"taken back {cache.name} after {now - cache.aside_since:.0f} ms"))
             cache.aside_since, cache.streak, cache.pace = None, 0, Ring(3000.0, 6)
-            self.errands.append(("log", f"taken back {cache.name}: {now:.0f}"))
             self._refresh(now)
 
     # The design: the weighted logarithmic owner
@@ -298,7 +298,8 @@
         tried = {tx.cache for tx in rpc.sent if not (rpc.joined and tx.outcome == "missed")}
         if not rpc.sent and self.methods[rpc.method]["repeats"] == "retriable":
             for cache in self.caches.values():
-                if cache.aside_since and cache.ready and now >= cache.trickle_at and not cache.held:
+                due = cache.aside_since is not None and now >= cache.trickle_at and not cache.held
+                if due and cache.ready and self._allowed(now, rpc, cache):
                     cache.trickle_at = now + cache.gap
                     return cache
         ranking = [c for c in self._ranking(key) if c.name not in tried and self._allowed(now, rpc, c)]
@@ -307,11 +308,10 @@
             ranking = sorted(ranking, key=lambda c: (c.held, c.salt))[:1]
         if not ranking:
             return None
-        bar = 2.0
         # Guards against spills that fill a busy origin: a neighbour that lacks the key has to fetch it.
         busy = self.origin.held > 0.5 * self.origin.value and not rpc.sent
         for cache in ranking:
-            if cache.held < bar and (cache is ranking[0] or not busy or self._holds(cache, key)):
+            if cache.held < SPILL and (cache is ranking[0] or not busy or self._holds(cache, key)):
                 return cache
         if busy:
             return ranking[0]
