--- a/calicofall/policy.py
+++ b/calicofall/policy.py
@@ -134,7 +134,7 @@
         self.retries = 10.0
         self.carried = 0.0  # completed by a warm cache, per ms and unit of weight, this proxy's share
         self.fetching: dict[int, int] = {}  # keys asked of the origin by this proxy
-        self.holders: list[dict[int, str]] = [{}, {}]  # by key, the cache last seen to hold it; newer, older
+        self.holders: list[set[tuple]] = [set(), set()]  # (key, cache) seen to be held; newer, older
         self.turn_at = now + HOLDS
         quotas = {t["name"]: t.get("quota") or 0.0 for t in deployment.get("tenants") or []}
         self.quota = {name: quota / 1000.0 / self.proxies for name, quota in quotas.items()}
@@ -220,7 +220,7 @@
         if weight and done:
             self.carried = max(done / weight / 4000.0, self.carried * 0.98)
         if now >= self.turn_at:
-            self.holders, self.turn_at = [{}, self.holders[0]], now + HOLDS
+            self.holders, self.turn_at = [set(), self.holders[0]], now + HOLDS
         self._judge(now)
         if self.overloaded != (self.fleet.held > self.fleet.value):
             self.overloaded = not self.overloaded
@@ -310,12 +310,14 @@
             return None
         # Guards against spills that fill a busy origin: a neighbour that lacks the key has to fetch it.
         busy = self.origin.held > 0.5 * self.origin.value and not rpc.sent
-        for cache in ranking:
-            if cache.held < SPILL and (cache is ranking[0] or not busy or self._holds(cache, key)):
+        owner, *others = ranking
+        if owner.held < SPILL:
+            return owner
+        others.sort(key=lambda c: not self._holds(c, key))  # a spill needs no fetch where the key is held
+        for cache in others:
+            if cache.held < SPILL and (not busy or self._holds(cache, key)):
                 return cache
-        if busy:
-            return ranking[0]
-        return min(ranking, key=lambda c: c.held)
+        return owner if busy else min(ranking, key=lambda c: c.held)
 
     def _allowed(self, now: float, rpc: Rpc, cache: Cache) -> bool:
         first = next((tx for tx in rpc.sent if tx.may_have_run()), None)
@@ -384,7 +386,7 @@
         return self._send(now, rpc, cache, fetch)
 
     def _holds(self, cache: Cache, key: int | None) -> bool:
-        return (self.holders[0].get(key) or self.holders[1].get(key)) == cache.name
+        return (key, cache.name) in self.holders[0] or (key, cache.name) in self.holders[1]
 
     def _send(self, now: float, rpc: Rpc, cache: Cache, fetch: bool) -> Verdict:
         if not cache.held:
@@ -488,10 +490,9 @@
                 load.add(now, min(pace, 5.0))
             if rpc.key is not None:
                 if rpc.write:
-                    self.holders[0].pop(rpc.key, None)
-                    self.holders[1].pop(rpc.key, None)
+                    self._void(rpc.key)
                 else:
-                    self.holders[0][rpc.key] = cache.name
+                    self.holders[0].add((rpc.key, cache.name))
         elif outcome == "missed":
             cache.streak = 0
         elif outcome == "full":
@@ -510,6 +511,11 @@
             fine = outcome in ("completed", "missed", "full") and pace < 2.0 * self.middle
             self._trickled(now, cache, fine)
 
+    def _void(self, key: int) -> None:
+        for cache in self._ranking(key):
+            for held in self.holders:
+                held.discard((key, cache.name))
+
     def _fetched(self, now: float, took: float) -> None:
         self.fetches.add(now, took)
         self.origin.present.add(now, min(took / max(self.fetch_usual, 1.0), 10.0))
@@ -523,6 +529,10 @@
                 self.fetching.pop(rpc.key, None)
         if outcome == "completed":
             self._fetched(now, took)
+            if rpc.write and rpc.key is not None:
+                self._void(rpc.key)
+            elif not rpc.write:  # what the origin answered is stored where it missed first
+                self.holders[0].update((rpc.key, tx.cache) for tx in rpc.sent[:2] if tx.outcome == "missed")
         elif outcome == "timeout":
             self.origin.present.add(now, min(took / max(self.fetch_usual, 1.0), 10.0))
         elif outcome != "cancelled":
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -101,3 +101,12 @@
             share = 0.2 + 0.8 * (start + 3000.0 - 6000.0) / 20_000.0
             sent = sum(start <= at < start + 3000.0 for at in times)
             assert sent <= 3.0 * share * 3000.0 * warm + 1
+
+
+def test_a_spill_prefers_a_neighbour_that_holds_the_key() -> None:
+    """Spills to a neighbour that lacked the key, while another held it, cost the origin a fetch each."""
+    policy = Policy(fleet(), 1, 0.0)
+    policy.listed(0.0, "full", 1, [(f"c{i}", "z", "box", 0, "ready", None, 0.0) for i in range(5)])
+    owner, _, third = policy._ranking(7)
+    policy.holders[0].add((7, third.name))
+    assert [send(policy, 0.0, rpc_for("read"))[1] for _ in range(3)] == [owner.name, owner.name, third.name]
