--- a/calicofall/policy.py
+++ b/calicofall/policy.py
@@ -133,7 +133,6 @@
         self.origin = Limit(12.0, 2.0, 2.5)
         self.retries = 10.0
         self.carried = 0.0  # completed by a warm cache, per ms and unit of weight, this proxy's share
-        self.fetching: dict[int, int] = {}  # keys asked of the origin by this proxy
         self.holders: list[set[tuple]] = [set(), set()]  # (key, cache) seen to be held; newer, older
         self.turn_at = now + HOLDS
         quotas = {t["name"]: t.get("quota") or 0.0 for t in deployment.get("tenants") or []}
@@ -295,7 +294,7 @@
     def _choose(self, now: float, rpc: Rpc) -> Cache | None:
         # An RPC without a key has no owner: it draws one, so that load still follows the weights.
         key = rpc.key if rpc.key is not None else self.chance.getrandbits(52)
-        tried = {tx.cache for tx in rpc.sent if not (rpc.joined and tx.outcome == "missed")}
+        tried = {tx.cache for tx in rpc.sent}
         if not rpc.sent and self.methods[rpc.method]["repeats"] == "retriable":
             for cache in self.caches.values():
                 due = cache.aside_since is not None and now >= cache.trickle_at and not cache.held
@@ -403,8 +402,6 @@
         origin = next((o for o in self.origins if o.ready), None)
         if origin is None or not self._room(self.origin, rpc, 1.0 if rpc.write else 0.8):
             return self._later(now, rpc, method)
-        if rpc.key is not None and not rpc.write:
-            self.fetching[rpc.key] = self.fetching.get(rpc.key, 0) + 1
         return self._send(now, rpc, origin, True)
 
     def _may_send(self, now: float, rpc: Rpc, method: dict) -> bool:
@@ -451,13 +448,6 @@
         if rpc.over or rpc.bound:
             return None
         if outcome == "missed":
-            # Another RPC fetches this key: waiting once for its answer saves the origin a transmission.
-            joins = note == "fetching" or rpc.key in self.fetching
-            pause = self.fetch_usual * 0.8
-            # Guards against a wait that outlives the client's patience: the answer would come too late.
-            if joins and not rpc.joined and len(rpc.sent) + 2 <= self.most and rpc.until - now > 2 * pause:
-                rpc.joined = True
-                return "wait", pause
             rpc.missed = True
             return self.where(now, rpc)
         if outcome in ("full", "unconnected", "moot") or self._may_retry(now, rpc):
@@ -521,12 +511,6 @@
         self.origin.present.add(now, min(took / max(self.fetch_usual, 1.0), 10.0))
 
     def _from_origin(self, now: float, rpc: Rpc, outcome: str, took: float) -> None:
-        if rpc.key is not None and not rpc.write:
-            left = self.fetching.get(rpc.key, 1) - 1
-            if left > 0:
-                self.fetching[rpc.key] = left
-            else:
-                self.fetching.pop(rpc.key, None)
         if outcome == "completed":
             self._fetched(now, took)
             if rpc.write and rpc.key is not None:
--- a/calicofall/rpc.py
+++ b/calicofall/rpc.py
@@ -31,7 +31,6 @@
     over: bool = False  # answered, or its client has left
     bound: bool = False  # a stream has begun: no deadline, no further transmission
     missed: bool = False  # a cache lacked the key: the origin is next
-    joined: bool = False  # waited once for the fetch of another RPC
     within_share: bool | None = None  # unknown until first asked about
 
     def may_have_run(self) -> bool:
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -6,16 +6,15 @@
 from calicofall.policy import Policy
 
 
-def test_a_join_never_outlives_the_client() -> None:
-    """An RPC that waited for another's fetch was left without an answer when its client gave up first."""
+def test_a_miss_goes_to_the_origin_at_once() -> None:
+    """Waiting for another RPC's fetch lost RPCs whose client gave up first, and cost more than it saved."""
     policy = Policy(fleet(aside=True), 1, 0.0)
     policy.listed(0.0, "full", 1, [("c1", "z", "box", 0, "ready", None, 0.0),
                                    ("o", "z", "origin", 0, "ready", None, 0.0)])
     rpc = rpc_for("read", until=60.0)
     send(policy, 0.0, rpc)
     rpc.sent[0].outcome = "missed"
-    verdict = policy.after(10.0, rpc, 0, 10.0, "fetching", None)
-    assert verdict and (verdict[0] != "wait" or 10.0 + verdict[1] < rpc.until)
+    assert policy.after(10.0, rpc, 0, 10.0, "fetching", None) == ("send", "o", 50.0)
 
 
 def test_a_read_waits_for_a_slow_fetch() -> None:
