--- a/calicofall/policy.py
+++ b/calicofall/policy.py
@@ -308,7 +308,7 @@
         if not ranking:
             return None
         # Guards against spills that fill a busy origin: a neighbour that lacks the key has to fetch it.
-        busy = self.origin.held > 0.5 * self.origin.value and not rpc.sent
+        busy = not self.aside and self.origin.held > 0.5 * self.origin.value and not rpc.sent
         owner, *others = ranking
         if owner.held < SPILL:
             return owner
