--- a/calicofall/policy.py
+++ b/calicofall/policy.py
@@ -355,9 +355,9 @@
             return True
         return False
 
-    def _room(self, limit: Limit, rpc: Rpc, part: float = 1.0) -> bool:
+    def _room(self, limit: Limit, rpc: Rpc) -> bool:
         """Whether this RPC finds room: over its share first out, then by least gain."""
-        return limit.room(part * (0.75 + 0.25 * self.rank[rpc.method] if rpc.within_share else 0.5))
+        return limit.room(0.75 + 0.25 * self.rank[rpc.method] if rpc.within_share else 0.5)
 
     # Where to send this RPC
 
@@ -400,7 +400,7 @@
 
     def _to_origin(self, now: float, rpc: Rpc, method: dict) -> Verdict:
         origin = next((o for o in self.origins if o.ready), None)
-        if origin is None or not self._room(self.origin, rpc, 1.0 if rpc.write else 0.8):
+        if origin is None or not self._room(self.origin, rpc):
             return self._later(now, rpc, method)
         return self._send(now, rpc, origin, True)
 
