One place finds the first transmission that may have run, one clears a cache

Read over: the search for that transmission stood three times and the clearing of a set-aside cache twice; an unused set of outcomes is gone.

--- a/calicofall/policy.py
+++ b/calicofall/policy.py
@@ -22,7 +22,6 @@
 HOLDS = 10_000.0  # what was seen to be held is believed for one to two of these
 SPILL = 2  # RPCs of this proxy in hand at an owner from which it spills: the design's floor
 REVIEW = 250.0  # between two looks at the measures
-FAILED = frozenset({"timeout", "unconnected", "reset", "error"})
 Verdict = tuple
 
 
@@ -97,12 +96,16 @@
         self.name, self.salt = name, point(name.encode()) | 1
         self.weight, self.started, self.ready, self.cell, self.zone = 1.0, 0.0, True, 0, ""
         self.held, self.heard = 0, 0.0  # last heard of, or first waited for
-        self.pace = Ring(3000.0, 6)  # answer time over what is usual for the method
         self.done = Ring(4000.0, 8)
         self.sent = Ring(1000.0, 8)
+        self.gap, self.trickle_at = 0.0, 0.0
+        self.clear()
+
+    def clear(self) -> None:
+        """Nothing is held against it."""
+        self.pace = Ring(3000.0, 6)  # answer time over what is usual for the method
         self.streak = 0  # failures in a row that speak of a dead process
         self.aside_since: float | None = None
-        self.gap, self.trickle_at = 0.0, 0.0
 
 
 class Policy:
@@ -171,7 +174,7 @@
             else:
                 cache = self.caches.get(name) or self.caches.setdefault(name, Cache(name))
             if started > cache.started:  # a fresh process: what was held against the old one is void
-                cache.streak, cache.aside_since, cache.pace = 0, None, Ring(3000.0, 6)
+                cache.clear()
             cache.zone, cache.cell, cache.started = zone, cell, started
             cache.ready, cache.weight = state == "ready", weight if weight and weight > 0 else 1.0
         self._refresh(now)
@@ -261,7 +264,7 @@
         cache.trickle_at = now + cache.gap
         if cache.gap < 60.0:
             self.errands.append(("log", f"taken back {cache.name} after {now - cache.aside_since:.0f} ms"))
-            cache.aside_since, cache.streak, cache.pace = None, 0, Ring(3000.0, 6)
+            cache.clear()
             self._refresh(now)
 
     # The design: the weighted logarithmic owner
@@ -319,7 +322,7 @@
         return owner if busy else min(ranking, key=lambda c: c.held)
 
     def _allowed(self, now: float, rpc: Rpc, cache: Cache) -> bool:
-        first = next((tx for tx in rpc.sent if tx.may_have_run()), None)
+        first = rpc.first_run()
         method = self.methods[rpc.method]
         if first is not None and method["repeats"] == "deduped":
             home, group = self.caches.get(first.cache), method.get("group")
@@ -406,7 +409,7 @@
 
     def _may_send(self, now: float, rpc: Rpc, method: dict) -> bool:
         """Rule 2: whether another transmission may have an effect twice."""
-        first = next((tx for tx in rpc.sent if tx.may_have_run()), None)
+        first = rpc.first_run()
         if any(tx.outcome is None for tx in rpc.sent):
             return False
         if first is None or method["repeats"] == "retriable":
@@ -425,7 +428,7 @@
     def _give_up(self, rpc: Rpc, method: dict) -> Verdict:
         """Exhausted where a repeat is harmless, errored where it might not be."""
         repeats = method["repeats"]
-        if repeats == "retriable" or not rpc.may_have_run() or \
+        if repeats == "retriable" or rpc.first_run() is None or \
                 (repeats == "deduped" and method.get("group") == "all"):
             longest = (self.caps.get("max_retry_after") or 0.0) if self.caps.get("retry_after") else 0.0
             return "exhausted", longest * self.chance.uniform(0.3, 0.6)
--- a/calicofall/rpc.py
+++ b/calicofall/rpc.py
@@ -33,5 +33,6 @@
     missed: bool = False  # a cache lacked the key: the origin is next
     within_share: bool | None = None  # unknown until first asked about
 
-    def may_have_run(self) -> bool:
-        return any(tx.may_have_run() for tx in self.sent)
+    def first_run(self) -> Transmission | None:
+        """The first transmission that may have run."""
+        return next((tx for tx in self.sent if tx.may_have_run()), None)
