--- a/calicofall/policy.py
+++ b/calicofall/policy.py
@@ -20,8 +20,12 @@
 PRIME = (1 << 61) - 1
 FADE = 20_000.0  # the design's ramp of a weight after the listed start
 HOLDS = 10_000.0  # what was seen to be held is believed for one to two of these
+KEYS = 30_000.0  # how often a key was asked for is counted over one to two of these
 SPILL = 2  # RPCs of this proxy in hand at an owner from which it spills: the design's floor
-REVIEW = 250.0  # between two looks at the measures
+REVIEW = 250.0  # between two looks at the measures, while anything happens
+PURSE = 3.0  # RPCs that a tenant may have unused, beside a second of its quota: few come at one proxy
+LEAST = 4  # answers that make a measure
+DOUBLES = 5_000.0  # what a set-aside cache gets doubles in this time while nothing speaks against it
 Verdict = tuple
 
 
@@ -54,39 +58,70 @@
     def count(self, now: float) -> float:
         return sum(self.counts[i] for i in self.live(now))
 
-    def shortest(self, now: float, default: float) -> float:
-        """The least mean of a bucket that saw enough to have one."""
-        means = [self.sums[i] / self.counts[i] for i in self.live(now) if self.counts[i] >= 4]
+    def clear(self) -> None:
+        self.marks = [-1] * len(self.marks)
+
+    def recent(self, now: float, least: float = LEAST, span: float = 1000.0) -> float | None:
+        """The mean over at least `span` ms, further back until enough was seen; None if it never was."""
+        mark, count, total = int(now // self.width), 0.0, 0.0
+        for back in range(len(self.marks)):
+            i = (mark - back) % len(self.marks)
+            if self.marks[i] == mark - back:
+                count, total = count + self.counts[i], total + self.sums[i]
+            if count >= least and (back + 1) * self.width >= span:
+                return total / count
+        return total / count if count >= least else None
+
+    def shortest(self, now: float, default: float | None) -> float | None:
+        """The least mean of successive buckets that together saw enough to have one."""
+        means, count, total = [], 0.0, 0.0
+        for i in sorted(self.live(now), key=self.marks.__getitem__):
+            count, total = count + self.counts[i], total + self.sums[i]
+            if count >= 2 * LEAST:
+                means.append(total / count)
+                count = total = 0.0
         return min(means, default=default)
 
-    def mean(self, now: float, default: float = 0.0) -> float:
-        live = self.live(now)
-        count = sum(self.counts[i] for i in live)
-        return sum(self.sums[i] for i in live) / count if count else default
-
 
 class Limit:
-    """An in-flight limit that follows the shortest answer time over the present one."""
+    """An in-flight limit that follows the shortest answer time over the present one.
+
+    A proxy's part of a large fleet is under one RPC: the limit holds for the mean over a span of time.
+    """
+
+    SPAN = 2000.0
+
+    def __init__(self, now: float, proxies: int) -> None:
+        self.value, self.floor, self.slack, self.held, self.short = 1.0, 1.0, 2.5, 0.0, False
+        self.step = 0.5 / sqrt(proxies)  # all proxies together grow by half the root of what all have
+        self.spare, self.at = 0.0, now  # left unused lately, in flight times ms
+        self.present, self.fell_at, self.seen_at = Ring(8000.0, 16), 0.0, 0.0
 
-    def __init__(self, start: float, floor: float, slack: float) -> None:
-        self.value, self.floor, self.slack, self.held, self.short = start, floor, slack, 0, False
-        self.present, self.fell_at = Ring(1000.0, 4), 0.0
+    def take(self, now: float, count: float) -> None:
+        top = self.value * self.SPAN
+        self.spare = max(-top, min(top, self.spare + (self.value - self.held) * (now - self.at)))
+        self.held, self.at = self.held + count, now
 
-    def room(self, part: float) -> bool:
-        """Whether a part of the limit is still free; it may grow only where something was turned away."""
-        free = self.held < self.value * part
+    def free(self, now: float, part: float) -> bool:
+        """Whether a part of the limit is still free."""
+        self.take(now, 0.0)
+        return self.held < max(1.0, self.value * part) and self.spare > (1 - part) * self.value * self.SPAN
+
+    def room(self, now: float, part: float) -> bool:
+        """As free(); the limit may grow only where something was turned away."""
+        free = self.free(now, part)
         self.short = self.short or not free
         return free
 
     def review(self, now: float) -> None:
-        if self.present.count(now) >= 3:
-            ratio = max(0.5, self.slack / max(self.present.mean(now), 0.1))
-            if ratio < 1 and now - self.fell_at >= 1000.0:  # the same answers shrink it once
-                self.value, self.fell_at = self.value * ratio, now
-            elif ratio >= 1 and self.short:
-                self.value += 0.3 * sqrt(self.value)
+        mean = self.present.recent(now)
+        if mean is not None and mean > self.slack and now - self.fell_at >= 1000.0:
+            self.value, self.fell_at = self.value * max(0.5, self.slack / mean), now
+            self.present.clear()  # the same answers shrink it once
+        elif self.short and (mean <= self.slack if mean is not None else now - self.fell_at >= 2000.0):
+            self.value += self.step * sqrt(self.value) * min(4.0, (now - self.seen_at) / REVIEW)
         self.value = max(self.floor, self.value)
-        self.short = False
+        self.short, self.seen_at = False, now
 
 
 class Cache:
@@ -96,16 +131,17 @@
         self.name, self.salt = name, point(name.encode()) | 1
         self.weight, self.started, self.ready, self.cell, self.zone = 1.0, 0.0, True, 0, ""
         self.held, self.heard = 0, 0.0  # last heard of, or first waited for
-        self.done = Ring(4000.0, 8)
-        self.sent = Ring(1000.0, 8)
-        self.gap, self.trickle_at = 0.0, 0.0
-        self.clear()
+        self.stuck = 0  # of these, sent before it was set aside or left the list: they take no room
+        self.wishes = Ring(4000.0, 8)  # RPCs that were to go there while it was cold
+        self.part, self.part_at, self.aside = 1.0, 0.0, False  # of what it owns, what it is sent
 
     def clear(self) -> None:
         """Nothing is held against it."""
-        self.pace = Ring(3000.0, 6)  # answer time over what is usual for the method
-        self.streak = 0  # failures in a row that speak of a dead process
-        self.aside_since: float | None = None
+        self.part, self.aside = 1.0, False
+
+    def trickle(self, now: float) -> float:
+        """The part of its RPCs that it is sent: twice as much after a while, if nothing speaks against it."""
+        return 1.0 if self.part >= 1.0 else self.part * 2.0 ** ((now - self.part_at) / DOUBLES)
 
 
 class Policy:
@@ -122,46 +158,53 @@
         self.origin_kind = kinds[kind] if self.aside and 0 <= kind < len(kinds) else None
         self.caches: dict[str, Cache] = {}
         self.origins: list[Cache] = []
-        self.usable: list[tuple[float, Cache]] = []  # ready, not set aside: (present weight, cache)
+        self.usable: list[tuple[int, float, Cache]] = []  # ready: (salt, -present weight, cache)
+        self.weights: dict[str, float] = {}
+        self.total = self.warm = 0.0  # sums of the present weights, and of those of warm caches
         self.rankings: dict[int, list[Cache]] = {}
         self.errands: list[tuple] = []
         # Following the list
         self.asks = deployment.get("discovery") == "ask"
         self.ask_at, self.ask_gap = now if self.asks else inf, 250.0
         # Measures
+        self.born = now
         self.usual = {name: Ring(60_000.0, 24) for name in self.methods}  # completed answer times
-        self.typical = {name: method["soft_deadline"] / 3 for name, method in self.methods.items()}
-        self.fetches, self.fetch_usual = Ring(60_000.0, 24), min(self.typical.values(), default=50.0)
-        self.fleet = Limit(40.0, 4.0, 2.5)
-        self.origin = Limit(12.0, 2.0, 2.5)
-        self.retries = 10.0
+        self.typical: dict[str, float | None] = dict.fromkeys(self.methods)
+        self.fetches, self.fetch_usual = Ring(60_000.0, 24), self.soonest / 3
+        self.fleet, self.origin = Limit(now, self.proxies), Limit(now, self.proxies)
+        self.most_retries = max(1.0, 30.0 / self.proxies)
+        self.retries = self.most_retries * self.chance.random()
+        self.flow = Ring(10_000.0, 20)  # sent to caches
+        self.done = Ring(10_000.0, 20)  # completed by warm caches
         self.carried = 0.0  # completed by a warm cache, per ms and unit of weight, this proxy's share
+        self.unseen, self.missing = Ring(60_000.0, 24), 0.5  # fetches of keys not seen to be held
         self.holders: list[set[tuple]] = [set(), set()]  # (key, cache) seen to be held; newer, older
         self.turn_at = now + HOLDS
+        self.asked_for: list[dict[int, int]] = [{}, {}]  # how often a key was asked for; newer, older
+        self.keys_at, self.keyed = now + KEYS, [0, 0]
         quotas = {t["name"]: t.get("quota") or 0.0 for t in deployment.get("tenants") or []}
         self.quota = {name: quota / 1000.0 / self.proxies for name, quota in quotas.items()}
-        self.purse = {name: [quota * 500.0, now] for name, quota in self.quota.items()}
-        self.asked = {name: Ring(4000.0, 8) for name in self.quota}
+        self.purse = {name: [PURSE * self.chance.random(), now] for name in self.quota}
+        self.asked = {name: Ring(16_000.0, 8) for name in self.quota}
         self.scale = self.middle = 1.0
         gains = {name: method.get("gain") or 1.0 for name, method in self.methods.items()}
         top = max(gains.values(), default=1.0)
         self.rank = {name: gain / top for name, gain in gains.items()}
-        self.review_at, self.overloaded = now + REVIEW, False
+        self.review_at, self.measure_at, self.fade_at, self.overloaded = now, now, inf, False
 
     # News
 
     def listed(self, now: float, kind: str, version: int | None, entries: list[tuple]) -> None:
         if kind == "failed":
-            self.errands.append(("log", f"list call failed: asked again after about {self.ask_gap:.0f} ms"))
+            if self.ask_gap == 250.0:
+                self.errands.append(("log", "list call failed: asked again after a random pause"))
             # Guards against all proxies asking again in step and filling the list's service once more.
             self.ask_at = now + self.ask_gap * self.chance.uniform(0.5, 1.5)
             self.ask_gap = min(self.ask_gap * 2, 4000.0)
             return
         if kind != "cached" and self.asks:
             self.ask_at, self.ask_gap = inf, 250.0
-        if not self.caches:  # the first list: a start to find the limits from
-            self.fleet.floor = max(4.0, len(entries) / self.proxies)  # each cache works on one RPC at least
-            self.fleet.value = 6.0 * self.fleet.floor
+        first = not self.caches
         if kind != "delta":
             for cache in [*self.caches.values(), *self.origins]:
                 cache.ready = False
@@ -177,7 +220,18 @@
                 cache.clear()
             cache.zone, cache.cell, cache.started = zone, cell, started
             cache.ready, cache.weight = state == "ready", weight if weight and weight > 0 else 1.0
+        for cache in self.caches.values():
+            if not cache.ready:
+                self._write_off(now, cache)
         self._refresh(now)
+        # Guards against floors that add up: all proxies together leave a cache one RPC at the least.
+        share = max(1, len(self.usable)) / self.proxies
+        self.fleet.floor, self.origin.floor = share, share / 2
+        if first:  # a start to find the limits from
+            for limit, start in ((self.fleet, 6 * share), (self.origin, 3 * share)):
+                limit.value = start
+                # Guards against all proxies having their first whole RPC at the same time.
+                limit.spare = start * limit.SPAN * (1.0 if start >= 1 else self.chance.random())
 
     def left(self, now: float, rpc: Rpc) -> list[int]:
         """The client has left: which transmissions to call off."""
@@ -199,80 +253,78 @@
             self._review(now)
             self.review_at = now + REVIEW
         errands, self.errands = self.errands, []
-        return max(1.0, min(self.review_at, self.ask_at) - now), errands
+        return max(1.0, self.ask_at - now), errands  # an idle proxy needs no review
 
     def _review(self, now: float) -> None:
+        self.fleet.review(now)
+        self.origin.review(now)
+        self.middle = max(1.0, self.fleet.present.recent(now) or self.middle)
+        if self.warm:
+            self.carried = max(self.done.count(now) / self.warm / 10_000.0, self.carried * 0.98)
+        if self.overloaded != (now - self.fleet.fell_at < 4000.0 and self.fleet.fell_at > 0.0):
+            self.overloaded = not self.overloaded
+            mode = "overload" if self.overloaded else "overload over"
+            self.errands.append(("log", f"{mode}: {self.fleet.held:.0f} in flight, "
+                                        f"limit {self.fleet.value:.2f}, answers {self.middle:.1f} of usual"))
+        if now >= self.fade_at:
+            self._refresh(now)
+        if now < self.measure_at:
+            return
+        self.measure_at = now + 8 * REVIEW
         for name, ring in self.usual.items():
             self.typical[name] = ring.shortest(now, self.typical[name])
         self.fetch_usual = self.fetches.shortest(now, self.fetch_usual)
+        missing = self.unseen.recent(now, 5 * LEAST)
+        self.missing = self.missing if missing is None else missing
         if self.aside:
             # Guards against a limit found in a jam: a fetch has to leave time within the soft deadline.
             self.origin.slack = min(2.5, max(1.2, 0.8 * self.soonest / self.fetch_usual))
-        self.fleet.review(now)
-        self.origin.review(now)
-        fills = sorted(ring.count(now) / 4000.0 / self.quota[name] for name, ring in self.asked.items()
+        fills = sorted(ring.count(now) / 16_000.0 / self.quota[name] for name, ring in self.asked.items()
                        if self.quota[name] > 0)
         # Clients are not spread evenly over proxies: the middle tenant shows this proxy's part.
         self.scale = min(2.0, max(1.0, fills[len(fills) // 2])) if fills else 1.0
-        done = weight = 0.0
-        for cache in self.caches.values():
-            if cache.ready and not self._cold(now, cache):
-                done += cache.done.count(now)
-                weight += cache.weight
-        if weight and done:
-            self.carried = max(done / weight / 4000.0, self.carried * 0.98)
         if now >= self.turn_at:
             self.holders, self.turn_at = [set(), self.holders[0]], now + HOLDS
-        self._judge(now)
-        if self.overloaded != (self.fleet.held > self.fleet.value):
-            self.overloaded = not self.overloaded
-            mode = "overload" if self.overloaded else "overload over"
-            self.errands.append(("log", f"{mode}: {self.fleet.held} in flight, limit {self.fleet.value:.1f}"))
-        if any(c.started and now - c.started < FADE + 1000 for c in self.caches.values()):
-            self._refresh(now)
-
-    def _judge(self, now: float) -> None:
-        """Set aside the few caches that are far slower than their peers or do not answer."""
-        paces = {c.name: c.pace.mean(now) for _, c in self.usable
-                 if c.pace.count(now) >= 6 and not self._cold(now, c)}
-        middle = sorted(paces.values())[len(paces) // 2] if paces else 1.0
-        self.middle = max(middle, 1.0)
+        if now >= self.keys_at:
+            self.asked_for, self.keyed = [{}, self.asked_for[0]], [0, self.keyed[0]]
+            self.keys_at = now + KEYS
+
+    # Sick caches
+
+    def _set_aside(self, now: float, cache: Cache, part: float, why: str) -> None:
+        """It gets a part of what it owns, which doubles with time and with each good answer."""
+        cache.part, cache.part_at = part, now
+        if part <= 0.25 and not cache.aside:
+            cache.aside = True
+            self._write_off(now, cache)
+            self.errands.append(("log", f"set aside {cache.name}: {why}, peers {self.middle:.1f}"))
+
+    def _write_off(self, now: float, cache: Cache) -> None:
+        self.fleet.take(now, cache.stuck - cache.held)
+        cache.stuck = cache.held
+
+    def _fit(self, now: float, cache: Cache) -> bool:
+        """Whether a cache is sent what it owns: by chance, where something speaks against it."""
         # Guards against caches that keep what they get and say nothing, long before time-outs tell.
-        hush = max(self.soonest, 3.0 * self.fetch_usual)
-        silent = [c for _, c in self.usable if c.held >= 2 and now - c.heard > hush]
-        if len(silent) > sum(now - c.heard <= hush for _, c in self.usable):
-            silent = []  # most of them: not theirs
-        few = max(1, int((0.5 if silent else 0.3) * sum(c.ready for c in self.caches.values())))
-        changed = False
-        for cache in sorted(self.caches.values(), key=lambda c: -paces.get(c.name, 0.0)):
-            out = sum(c.ready and c.aside_since is not None for c in self.caches.values())
-            if cache.aside_since is not None or not cache.ready or out >= few:
-                continue
-            pace = paces.get(cache.name, 0.0)
-            if cache.streak >= 2 or cache in silent or (len(paces) >= 3 and pace > 3.0 * self.middle):
-                cache.aside_since, cache.gap = now, 1000.0
-                cache.trickle_at = now + cache.gap
-                changed = True
-                self.errands.append(("log", f"set aside {cache.name}: pace {pace:.1f}, peers {middle:.1f}, "
-                                            f"{cache.streak} failures in a row"))
-        if changed:
-            self._refresh(now)
-
-    def _trickled(self, now: float, cache: Cache, fine: bool) -> None:
-        """A set-aside cache gets twice as many RPCs after each good answer, half as many after a bad one."""
-        cache.gap = cache.gap / 2 if fine else min(4000.0, cache.gap * 2)
-        cache.trickle_at = now + cache.gap
-        if cache.gap < 60.0:
-            self.errands.append(("log", f"taken back {cache.name} after {now - cache.aside_since:.0f} ms"))
+        if cache.held > cache.stuck and now - cache.heard > max(self.soonest, 3.0 * self.fetch_usual):
+            self._set_aside(now, cache, 0.0625, f"silent for {now - cache.heard:.0f} ms")
+        if cache.part >= 1.0:
+            return True
+        part = cache.trickle(now)
+        if part >= 1.0:
             cache.clear()
-            self._refresh(now)
+        return part >= 1.0 or self.chance.random() < part
 
     # The design: the weighted logarithmic owner
 
     def _refresh(self, now: float) -> None:
-        self.usable = [(self._weight(now, c), c) for c in self.caches.values()
-                       if c.ready and c.aside_since is None]
-        self.fleet.held = sum(c.held for _, c in self.usable)  # what is stuck elsewhere takes no room
+        self.weights = {c.name: self._weight(now, c) for c in self.caches.values() if c.ready}
+        self.usable = [(c.salt, -self.weights[c.name], c) for c in self.caches.values() if c.ready]
+        cold = [c for _, _, c in self.usable if self._cold(now, c)]
+        self.total = sum(self.weights.values())
+        self.warm = self.total - sum(self.weights[c.name] for c in cold)
+        fading = any(c.started and now - c.started < FADE for _, _, c in self.usable)
+        self.fade_at = now + 1000.0 if cold or fading else inf
         self.rankings.clear()
 
     def _weight(self, now: float, cache: Cache) -> float:
@@ -282,44 +334,44 @@
     def _cold(self, now: float, cache: Cache) -> bool:
         return cache.started > 0 and now - cache.started < (self.rules.get("cold") or FADE)
 
-    def _score(self, place: int, weight: float, cache: Cache) -> float:
-        return -log(1.0 - (place * cache.salt) % PRIME / PRIME) / weight
-
     def _ranking(self, key: int) -> list[Cache]:
-        """The key's three best caches; kept until the list, a weight or the set-aside caches change."""
+        """The key's three best caches; kept until the list or a weight changes."""
         ranking = self.rankings.get(key)
         if ranking is None:
             place = point(key.to_bytes(8))
-            best = nsmallest(3, [(self._score(place, weight, c), c.name) for weight, c in self.usable])
-            ranking = self.rankings[key] = [self.caches[name] for _, name in best]
+            best = nsmallest(3, [(log(1.0 - place * salt % PRIME / PRIME) / weight, i)
+                                 for i, (salt, weight, _) in enumerate(self.usable)])
+            ranking = self.rankings[key] = [self.usable[i][2] for _, i in best]
         return ranking
 
+    def _hot(self, key: int) -> bool:
+        """Whether a key brings half of what a cache gets on average, as far as this proxy has seen."""
+        newer, older = self.asked_for
+        return newer.get(key, 0) + older.get(key, 0) > 1.0 + 0.5 * sum(self.keyed) / len(self.usable)
+
     def _choose(self, now: float, rpc: Rpc) -> Cache | None:
         # An RPC without a key has no owner: it draws one, so that load still follows the weights.
         key = rpc.key if rpc.key is not None else self.chance.getrandbits(52)
         tried = {tx.cache for tx in rpc.sent}
-        if not rpc.sent and self.methods[rpc.method]["repeats"] == "retriable":
-            for cache in self.caches.values():
-                due = cache.aside_since is not None and now >= cache.trickle_at and not cache.held
-                if due and cache.ready and self._allowed(now, rpc, cache):
-                    cache.trickle_at = now + cache.gap
-                    return cache
         ranking = [c for c in self._ranking(key) if c.name not in tried and self._allowed(now, rpc, c)]
-        if rpc.sent and not ranking:
-            ranking = [c for _, c in self.usable if c.name not in tried and self._allowed(now, rpc, c)]
-            ranking = sorted(ranking, key=lambda c: (c.held, c.salt))[:1]
         if not ranking:
             return None
+        # Guards against hot keys that no single proxy has two of in hand: their three caches share them.
+        if not rpc.sent and self._hot(key):
+            self.chance.shuffle(ranking)
+        fit = [c for c in ranking if self._fit(now, c)]
+        if not fit:
+            return max(ranking, key=lambda c: c.part)
         # Guards against spills that fill a busy origin: a neighbour that lacks the key has to fetch it.
-        busy = not self.aside and self.origin.held > 0.5 * self.origin.value and not rpc.sent
-        owner, *others = ranking
+        busy = not self.aside and not rpc.sent and not self.origin.free(now, 0.5)
+        owner, *others = fit
         if owner.held < SPILL:
             return owner
         others.sort(key=lambda c: not self._holds(c, key))  # a spill needs no fetch where the key is held
         for cache in others:
             if cache.held < SPILL and (not busy or self._holds(cache, key)):
                 return cache
-        return owner if busy else min(ranking, key=lambda c: c.held)
+        return owner if busy else min(fit, key=lambda c: c.held)
 
     def _allowed(self, now: float, rpc: Rpc, cache: Cache) -> bool:
         first = rpc.first_run()
@@ -329,16 +381,28 @@
             if home is None or (group == "zone" and home.zone != cache.zone) or \
                     (group == "cell" and home.cell != cache.cell):
                 return False
-        return not self._cold(now, cache) or self._cold_room(now, cache)
+        return not self._cold(now, cache) or self._cold_room(now, rpc, cache)
+
+    def _cold_room(self, now: float, rpc: Rpc, cache: Cache) -> bool:
+        """Chance keeps all proxies together within what a cold cache can take: a proxy's part is under one.
 
-    def _cold_room(self, now: float, cache: Cache) -> bool:
-        """This proxy's part of what a cold cache can take: guards rule 4 where relative weights do not."""
+        Guards rule 4 where relative weights do not: most of the fleet cold, spills, retries, a hot key.
+        """
+        if cache.name in rpc.passed:
+            return False  # the chance is taken once
+        cache.wishes.add(now)
         share = self.rules.get("cold_share") or 0.1
         age = max(0.0, now - cache.started) / (self.rules.get("cold") or FADE)
-        least = max(self.typical.values(), default=50.0) * self.proxies
-        rate = max(self.carried * cache.weight, 0.5 / least)
         part = (share + (1 - share) * min(1.0, age)) * (self.rules.get("fall_multiple") or 1.0)
-        return cache.sent.count(now) < 0.6 * part * rate * 1000.0
+        rate = max(self.carried * cache.weight, 1.5 / self.soonest / self.proxies)
+        seen = max(500.0, min(10_000.0, now - self.born))
+        wished = (self.flow.count(now) + 1) / seen * self.weights.get(cache.name, 0.0) / self.total
+        if cache.wishes.count(now) >= LEAST:
+            wished = max(wished, cache.wishes.count(now) / 4000.0)
+        if self.chance.random() * wished < 0.6 * part * rate:
+            return True
+        rpc.passed.add(cache.name)
+        return False
 
     # Admission: sharing and overload
 
@@ -351,16 +415,16 @@
             self.asked[rpc.tenant].add(now)
         purse = self.purse[rpc.tenant]
         rate = quota * self.scale
-        purse[0] = min(rate * 1000.0 + 1, purse[0] + rate * (now - purse[1]))
+        purse[0] = min(rate * 1000.0 + PURSE, purse[0] + rate * (now - purse[1]))
         purse[1] = now
         if purse[0] >= 1.0:
             purse[0] -= 1.0
             return True
         return False
 
-    def _room(self, limit: Limit, rpc: Rpc) -> bool:
+    def _room(self, now: float, limit: Limit, rpc: Rpc) -> bool:
         """Whether this RPC finds room: over its share first out, then by least gain."""
-        return limit.room(0.75 + 0.25 * self.rank[rpc.method] if rpc.within_share else 0.5)
+        return limit.room(now, 0.75 + 0.25 * self.rank[rpc.method] if rpc.within_share else 0.5)
 
     # Where to send this RPC
 
@@ -370,42 +434,47 @@
         method = self.methods[rpc.method]
         if rpc.within_share is None:
             rpc.within_share = self._share(now, rpc)
-            self.retries = min(10.0, self.retries + 0.2)
+            self.retries = min(self.most_retries, self.retries + 0.2)
+            if rpc.key is not None:
+                self.asked_for[0][rpc.key] = self.asked_for[0].get(rpc.key, 0) + 1
+                self.keyed[0] += 1
         room = rpc.until - now
         if room <= 2.0 or len(rpc.sent) >= self.most or not self._may_send(now, rpc, method):
             return self._give_up(rpc, method)
-        if self.aside and (rpc.write or rpc.missed or len(rpc.sent) >= self.most - 1):
+        if self.aside and (rpc.write or rpc.missed):
             return self._to_origin(now, rpc, method)
-        if not rpc.sent and not self._room(self.fleet, rpc):
+        if not rpc.sent and not self._room(now, self.fleet, rpc):
             return self._later(now, rpc, method)
         cache = self._choose(now, rpc)
-        if cache is None:
-            return self._later(now, rpc, method)
-        fetch = not self.aside and (rpc.write or not self._holds(cache, rpc.key))
+        if cache is None:  # waiting would not change what was tried, or the chance taken
+            return self._give_up(rpc, method)
+        fetch = 0.0
+        if not self.aside:  # what is likely to need the origin, as far as this proxy has seen
+            fetch = 1.0 if rpc.write else 0.0 if self._holds(cache, rpc.key) else self.missing
         # Guards against a jam behind the caches: what is likely to need the origin waits for room there.
-        if fetch and not self._room(self.origin, rpc):
+        if fetch and not self._room(now, self.origin, rpc):
             return self._later(now, rpc, method)
         return self._send(now, rpc, cache, fetch)
 
     def _holds(self, cache: Cache, key: int | None) -> bool:
         return (key, cache.name) in self.holders[0] or (key, cache.name) in self.holders[1]
 
-    def _send(self, now: float, rpc: Rpc, cache: Cache, fetch: bool) -> Verdict:
+    def _send(self, now: float, rpc: Rpc, cache: Cache, fetch: float) -> Verdict:
         if not cache.held:
             cache.heard = now
         cache.held += 1
-        cache.sent.add(now)
-        self.fleet.held += cache not in self.origins and cache.aside_since is None
-        if fetch:
-            self.origin.held += 1
+        if cache not in self.origins:
+            self.flow.add(now)
+            self.fleet.take(now, 1.0)
+        self.origin.take(now, fetch)
         rpc.sent.append(Transmission(cache.name, now, fetch))
         return "send", cache.name, rpc.until - now
 
     def _to_origin(self, now: float, rpc: Rpc, method: dict) -> Verdict:
         origin = next((o for o in self.origins if o.ready), None)
-        if origin is None or not self._room(self.origin, rpc):
+        if origin is None or not self._room(now, self.origin, rpc):
             return self._later(now, rpc, method)
-        return self._send(now, rpc, origin, True)
+        return self._send(now, rpc, origin, 1.0)
 
     def _may_send(self, now: float, rpc: Rpc, method: dict) -> bool:
         """Rule 2: whether another transmission may have an effect twice."""
@@ -422,7 +491,7 @@
         if rpc.sent:
             patience *= 2
         if now - rpc.arrived < patience and rpc.until - now > 20.0:
-            return "wait", 10.0
+            return "wait", 15.0
         return self._give_up(rpc, method)
 
     def _give_up(self, rpc: Rpc, method: dict) -> Verdict:
@@ -441,8 +510,7 @@
         tx = rpc.sent[number]
         outcome, method = tx.outcome, self.methods[rpc.method]
         cache = self.caches.get(tx.cache)
-        if tx.fetch:
-            self.origin.held -= 1
+        self.origin.take(now, -tx.fetch)
         if cache is None:
             self._from_origin(now, rpc, outcome, took)
         else:
@@ -459,50 +527,59 @@
 
     def _may_retry(self, now: float, rpc: Rpc) -> bool:
         # Guards against retry storms: retries are a part of what comes in, not of what fails.
-        if self.retries < 1 or rpc.until - now < self.typical[rpc.method]:
+        if self.retries < 1 or rpc.until - now < (self.typical[rpc.method] or 0.0):
             return False
         self.retries -= 1
         return True
 
     def _learn(self, now: float, rpc: Rpc, cache: Cache, outcome: str, took: float, note: str | None,
-               fetch: bool) -> None:
-        self.fleet.held -= cache.ready and cache.aside_since is None
-        pace = min(took / max(self.typical[rpc.method], 1.0), 10.0)
-        # Guards against a few sick caches shrinking the limit for all.
-        load = self.fleet.present if cache.aside_since is None else Ring(1000.0, 1)
+               fetch: float) -> None:
+        if cache.stuck:
+            cache.stuck -= 1
+        else:
+            self.fleet.take(now, -1.0)
+        usual = self.typical[rpc.method]
+        pace = min(took / usual, 10.0) if usual else None  # answer time over what is usual for the method
         # A slow origin is not the cache's: an answer that took a fetch is measured apart.
         fetched = note == "fetched" or (rpc.write and not self.aside)
         if outcome == "completed":
-            cache.streak = 0
-            cache.done.add(now)
+            if not self._cold(now, cache):
+                self.done.add(now)
+            if not rpc.write and not self._holds(cache, rpc.key):
+                self.unseen.add(now, note in ("fetched", "fetching"))
             if fetched:
                 self._fetched(now, took)
             else:
                 self.usual[rpc.method].add(now, took)
-                cache.pace.add(now, min(pace, 6.0))
-                load.add(now, min(pace, 5.0))
+                self._paced(now, cache, pace)
             if rpc.key is not None:
                 if rpc.write:
                     self._void(rpc.key)
                 else:
                     self.holders[0].add((rpc.key, cache.name))
-        elif outcome == "missed":
-            cache.streak = 0
         elif outcome == "full":
-            load.add(now, 8.0)
+            self.fleet.present.add(now, 8.0)
         elif outcome in ("error", "timeout"):
-            if fetch:
+            if fetch >= 0.5:
                 self.origin.present.add(now, 6.0)
+            elif outcome == "timeout":
+                self._paced(now, cache, pace)
             else:
-                cache.pace.add(now, pace)
-                load.add(now, 6.0 if outcome == "error" else pace)
+                self.fleet.present.add(now, 6.0)
         elif outcome in ("unconnected", "reset"):
-            cache.streak += 1
-            if cache.streak == 2:
-                self.review_at = now
-        if cache.aside_since is not None and outcome != "cancelled":
-            fine = outcome in ("completed", "missed", "full") and pace < 2.0 * self.middle
-            self._trickled(now, cache, fine)
+            self._set_aside(now, cache, 0.0625, outcome)
+
+    def _paced(self, now: float, cache: Cache, pace: float | None) -> None:
+        if pace is None:
+            return
+        part = cache.trickle(now)
+        # Guards against a few sick caches shrinking the limit for all.
+        if part >= 0.5:
+            self.fleet.present.add(now, pace)
+        if pace > 4.0 * self.middle:
+            self._set_aside(now, cache, max(0.0625, min(1.0, part) / 2), f"pace {pace:.1f}")
+        elif part < 1.0 and pace < 2.0 * self.middle:
+            cache.part, cache.part_at = part * 2, now
 
     def _void(self, key: int) -> None:
         for cache in self._ranking(key):
--- a/calicofall/rpc.py
+++ b/calicofall/rpc.py
@@ -10,7 +10,7 @@
 class Transmission:
     cache: str
     at: float
-    fetch: bool = False  # the origin is asked, or may have to be
+    fetch: float = 0.0  # how likely the origin is asked
     outcome: str | None = None
 
     def may_have_run(self) -> bool:
@@ -31,6 +31,7 @@
     over: bool = False  # answered, or its client has left
     bound: bool = False  # a stream has begun: no deadline, no further transmission
     missed: bool = False  # a cache lacked the key: the origin is next
+    passed: set[str] = field(default_factory=set)  # cold caches that had no room when the chance was taken
     within_share: bool | None = None  # unknown until first asked about
 
     def first_run(self) -> Transmission | None:
