--- a/calicofall/policy.py
+++ b/calicofall/policy.py
@@ -24,7 +24,7 @@
 SPILL = 2  # RPCs of this proxy in hand at an owner from which it spills: the design's floor
 REVIEW = 250.0  # between two looks at the measures, while anything happens
 PURSE = 3.0  # RPCs that a tenant may have unused, beside a second of its quota: few come at one proxy
-LEAST = 4  # answers that make a measure
+LEAST = 8  # answers that make a measure: a few heavy RPCs are no jam
 DOUBLES = 5_000.0  # what a set-aside cache gets doubles in this time while nothing speaks against it
 Verdict = tuple
 
@@ -77,7 +77,7 @@
         means, count, total = [], 0.0, 0.0
         for i in sorted(self.live(now), key=self.marks.__getitem__):
             count, total = count + self.counts[i], total + self.sums[i]
-            if count >= 2 * LEAST:
+            if count >= 2 * LEAST:  # few answers make it too short by chance
                 means.append(total / count)
                 count = total = 0.0
         return min(means, default=default)
@@ -95,7 +95,7 @@
         self.value, self.floor, self.slack, self.held, self.short = 1.0, 1.0, 2.5, 0.0, False
         self.step = 0.5 / sqrt(proxies)  # all proxies together grow by half the root of what all have
         self.spare, self.at = 0.0, now  # left unused lately, in flight times ms
-        self.present, self.fell_at, self.seen_at = Ring(8000.0, 16), 0.0, 0.0
+        self.present, self.fell_at, self.seen_at = Ring(16_000.0, 32), 0.0, 0.0
 
     def take(self, now: float, count: float) -> None:
         top = self.value * self.SPAN
@@ -105,7 +105,9 @@
     def free(self, now: float, part: float) -> bool:
         """Whether a part of the limit is still free."""
         self.take(now, 0.0)
-        return self.held < max(1.0, self.value * part) and self.spare > (1 - part) * self.value * self.SPAN
+        # Guards against chance: where a few are in flight on average, two at once are no overload.
+        most = max(1.0, self.value * part + min(self.value, 2.0))
+        return self.held < most and self.spare > (1 - part) * self.value * self.SPAN
 
     def room(self, now: float, part: float) -> bool:
         """As free(); the limit may grow only where something was turned away."""
@@ -274,7 +276,7 @@
         for name, ring in self.usual.items():
             self.typical[name] = ring.shortest(now, self.typical[name])
         self.fetch_usual = self.fetches.shortest(now, self.fetch_usual)
-        missing = self.unseen.recent(now, 5 * LEAST)
+        missing = self.unseen.recent(now, 2 * LEAST)
         self.missing = self.missing if missing is None else missing
         if self.aside:
             # Guards against a limit found in a jam: a fetch has to leave time within the soft deadline.
@@ -397,7 +399,7 @@
         rate = max(self.carried * cache.weight, 1.5 / self.soonest / self.proxies)
         seen = max(500.0, min(10_000.0, now - self.born))
         wished = (self.flow.count(now) + 1) / seen * self.weights.get(cache.name, 0.0) / self.total
-        if cache.wishes.count(now) >= LEAST:
+        if cache.wishes.count(now) >= 4:
             wished = max(wished, cache.wishes.count(now) / 4000.0)
         if self.chance.random() * wished < 0.6 * part * rate:
             return True
@@ -558,7 +560,7 @@
                 else:
                     self.holders[0].add((rpc.key, cache.name))
         elif outcome == "full":
-            self.fleet.present.add(now, 8.0)
+            self.fleet.present.add(now, 5.0)
         elif outcome in ("error", "timeout"):
             if fetch >= 0.5:
                 self.origin.present.add(now, 6.0)
@@ -575,7 +577,7 @@
         part = cache.trickle(now)
         # Guards against a few sick caches shrinking the limit for all.
         if part >= 0.5:
-            self.fleet.present.add(now, pace)
+            self.fleet.present.add(now, min(pace, 5.0))
         if pace > 4.0 * self.middle:
             self._set_aside(now, cache, max(0.0625, min(1.0, part) / 2), f"pace {pace:.1f}")
         elif part < 1.0 and pace < 2.0 * self.middle:
