--- a/calicofall/policy.py
+++ b/calicofall/policy.py
@@ -179,7 +179,6 @@
         self.flow = Ring(10_000.0, 20)  # sent to caches
         self.done = Ring(10_000.0, 20)  # completed by warm caches
         self.carried = 0.0  # completed by a warm cache, per ms and unit of weight, this proxy's share
-        self.unseen, self.missing = Ring(60_000.0, 24), 0.5  # fetches of keys not seen to be held
         self.holders: list[set[tuple]] = [set(), set()]  # (key, cache) seen to be held; newer, older
         self.turn_at = now + HOLDS
         self.asked_for: list[dict[int, int]] = [{}, {}]  # how often a key was asked for; newer, older
@@ -276,8 +275,6 @@
         for name, ring in self.usual.items():
             self.typical[name] = ring.shortest(now, self.typical[name])
         self.fetch_usual = self.fetches.shortest(now, self.fetch_usual)
-        missing = self.unseen.recent(now, 2 * LEAST)
-        self.missing = self.missing if missing is None else missing
         if self.aside:
             # Guards against a limit found in a jam: a fetch has to leave time within the soft deadline.
             self.origin.slack = min(2.5, max(1.2, 0.8 * self.soonest / self.fetch_usual))
@@ -452,7 +449,7 @@
             return self._give_up(rpc, method)
         fetch = 0.0
         if not self.aside:  # what is likely to need the origin, as far as this proxy has seen
-            fetch = 1.0 if rpc.write else 0.0 if self._holds(cache, rpc.key) else self.missing
+            fetch = float(rpc.write or not self._holds(cache, rpc.key))
         # Guards against a jam behind the caches: what is likely to need the origin waits for room there.
         if fetch and not self._room(now, self.origin, rpc):
             return self._later(now, rpc, method)
@@ -547,8 +544,6 @@
         if outcome == "completed":
             if not self._cold(now, cache):
                 self.done.add(now)
-            if not rpc.write and not self._holds(cache, rpc.key):
-                self.unseen.add(now, note in ("fetched", "fetching"))
             if fetched:
                 self._fetched(now, took)
             else:
@@ -562,7 +557,7 @@
         elif outcome == "full":
             self.fleet.present.add(now, 5.0)
         elif outcome in ("error", "timeout"):
-            if fetch >= 0.5:
+            if fetch:
                 self.origin.present.add(now, 6.0)
             elif outcome == "timeout":
                 self._paced(now, cache, pace)
