--- a/calicofall/policy.py
+++ b/calicofall/policy.py
@@ -20,7 +20,8 @@
 PRIME = (1 << 61) - 1
 FADE = 20_000.0  # the design's ramp of a weight after the listed start
 HOLDS = 10_000.0  # what was seen to be held is believed for one to two of these
-KEYS = 30_000.0  # how often a key was asked for is counted over one to two of these
+EVEN = 1.0  # of a cache's mean, what it may be sent over SENT ms before its keys are passed on
+SENT = 60_000.0
 SPILL = 2  # RPCs of this proxy in hand at an owner from which it spills: the design's floor
 REVIEW = 250.0  # between two looks at the measures, while anything happens
 PURSE = 3.0  # RPCs that a tenant may have unused, beside a second of its quota: few come at one proxy
@@ -131,9 +132,10 @@
 
     def __init__(self, name: str) -> None:
         self.name, self.salt = name, point(name.encode()) | 1
-        self.weight, self.started, self.ready, self.cell, self.zone = 1.0, 0.0, True, 0, ""
+        self.weight, self.started, self.ready, self.cell, self.zone, self.kind = 1.0, 0.0, True, 0, "", ""
         self.held, self.heard = 0, 0.0  # last heard of, or first waited for
         self.stuck = 0  # of these, sent before it was set aside or left the list: they take no room
+        self.sent = Ring(SENT, 6)
         self.wishes = Ring(4000.0, 8)  # RPCs that were to go there while it was cold
         self.part, self.part_at, self.aside = 1.0, 0.0, False  # of what it owns, what it is sent
 
@@ -176,17 +178,17 @@
         self.fleet, self.origin = Limit(now, self.proxies), Limit(now, self.proxies)
         self.most_retries = max(1.0, 30.0 / self.proxies)
         self.retries = self.most_retries * self.chance.random()
-        self.flow = Ring(10_000.0, 20)  # sent to caches
+        self.flow, self.sent = Ring(10_000.0, 20), Ring(SENT, 6)  # sent to caches
         self.done = Ring(10_000.0, 20)  # completed by warm caches
         self.carried = 0.0  # completed by a warm cache, per ms and unit of weight, this proxy's share
         self.holders: list[set[tuple]] = [set(), set()]  # (key, cache) seen to be held; newer, older
         self.turn_at = now + HOLDS
-        self.asked_for: list[dict[int, int]] = [{}, {}]  # how often a key was asked for; newer, older
-        self.keys_at, self.keyed = now + KEYS, [0, 0]
         quotas = {t["name"]: t.get("quota") or 0.0 for t in deployment.get("tenants") or []}
         self.quota = {name: quota / 1000.0 / self.proxies for name, quota in quotas.items()}
         self.purse = {name: [PURSE * self.chance.random(), now] for name in self.quota}
         self.asked = {name: Ring(16_000.0, 8) for name in self.quota}
+        self.paces: dict[str, Ring] = {}  # by kind of machine: one proxy meets a cache too seldom
+        self.swift: dict[str, float] = {}  # what a kind can be sent beside its weight, for answers as fast
         self.scale = self.middle = 1.0
         gains = {name: method.get("gain") or 1.0 for name, method in self.methods.items()}
         top = max(gains.values(), default=1.0)
@@ -219,7 +221,7 @@
                 cache = self.caches.get(name) or self.caches.setdefault(name, Cache(name))
             if started > cache.started:  # a fresh process: what was held against the old one is void
                 cache.clear()
-            cache.zone, cache.cell, cache.started = zone, cell, started
+            cache.zone, cache.kind, cache.cell, cache.started = zone, machine, cell, started
             cache.ready, cache.weight = state == "ready", weight if weight and weight > 0 else 1.0
         for cache in self.caches.values():
             if not cache.ready:
@@ -272,6 +274,9 @@
         if now < self.measure_at:
             return
         self.measure_at = now + 8 * REVIEW
+        paces = {kind: ring.recent(now, LEAST, 30_000.0) for kind, ring in self.paces.items()}
+        known = [pace for pace in paces.values() if pace]
+        self.swift = {kind: sum(known) / len(known) / pace for kind, pace in paces.items() if pace}
         for name, ring in self.usual.items():
             self.typical[name] = ring.shortest(now, self.typical[name])
         self.fetch_usual = self.fetches.shortest(now, self.fetch_usual)
@@ -284,9 +289,6 @@
         self.scale = min(2.0, max(1.0, fills[len(fills) // 2])) if fills else 1.0
         if now >= self.turn_at:
             self.holders, self.turn_at = [set(), self.holders[0]], now + HOLDS
-        if now >= self.keys_at:
-            self.asked_for, self.keyed = [{}, self.asked_for[0]], [0, self.keyed[0]]
-            self.keys_at = now + KEYS
 
     # Sick caches
 
@@ -343,11 +345,6 @@
             ranking = self.rankings[key] = [self.usable[i][2] for _, i in best]
         return ranking
 
-    def _hot(self, key: int) -> bool:
-        """Whether a key brings half of what a cache gets on average, as far as this proxy has seen."""
-        newer, older = self.asked_for
-        return newer.get(key, 0) + older.get(key, 0) > 1.0 + 0.5 * sum(self.keyed) / len(self.usable)
-
     def _choose(self, now: float, rpc: Rpc) -> Cache | None:
         # An RPC without a key has no owner: it draws one, so that load still follows the weights.
         key = rpc.key if rpc.key is not None else self.chance.getrandbits(52)
@@ -355,22 +352,27 @@
         ranking = [c for c in self._ranking(key) if c.name not in tried and self._allowed(now, rpc, c)]
         if not ranking:
             return None
-        # Guards against hot keys that no single proxy has two of in hand: their three caches share them.
-        if not rpc.sent and self._hot(key):
-            self.chance.shuffle(ranking)
         fit = [c for c in ranking if self._fit(now, c)]
         if not fit:
             return max(ranking, key=lambda c: c.part)
         # Guards against spills that fill a busy origin: a neighbour that lacks the key has to fetch it.
         busy = not self.aside and not rpc.sent and not self.origin.free(now, 0.5)
         owner, *others = fit
-        if owner.held < SPILL:
+        if not self._over(now, owner):
             return owner
         others.sort(key=lambda c: not self._holds(c, key))  # a spill needs no fetch where the key is held
         for cache in others:
-            if cache.held < SPILL and (not busy or self._holds(cache, key)):
+            if not self._over(now, cache) and (not busy or self._holds(cache, key)):
                 return cache
-        return owner if busy else min(fit, key=lambda c: c.held)
+        return owner if busy else min(fit, key=lambda c: (c.held, c.sent.count(now) / self.weights[c.name]))
+
+    def _over(self, now: float, cache: Cache) -> bool:
+        """Whether a cache is over its spill threshold: in flight, or in what it was lately sent.
+
+        Guards against few keys making most of the load: a proxy of hundreds never has two of them in flight.
+        """
+        mean = self.sent.count(now) / self.total * self.weights[cache.name] * self.swift.get(cache.kind, 1.0)
+        return cache.held >= SPILL or cache.sent.count(now) > EVEN * mean
 
     def _allowed(self, now: float, rpc: Rpc, cache: Cache) -> bool:
         first = rpc.first_run()
@@ -434,9 +436,6 @@
         if rpc.within_share is None:
             rpc.within_share = self._share(now, rpc)
             self.retries = min(self.most_retries, self.retries + 0.2)
-            if rpc.key is not None:
-                self.asked_for[0][rpc.key] = self.asked_for[0].get(rpc.key, 0) + 1
-                self.keyed[0] += 1
         room = rpc.until - now
         if room <= 2.0 or len(rpc.sent) >= self.most or not self._may_send(now, rpc, method):
             return self._give_up(rpc, method)
@@ -464,6 +463,8 @@
         cache.held += 1
         if cache not in self.origins:
             self.flow.add(now)
+            self.sent.add(now)
+            cache.sent.add(now)
             self.fleet.take(now, 1.0)
         self.origin.take(now, fetch)
         rpc.sent.append(Transmission(cache.name, now, fetch))
@@ -570,6 +571,7 @@
         if pace is None:
             return
         part = cache.trickle(now)
+        self.paces.setdefault(cache.kind, Ring(30_000.0, 10)).add(now, min(pace, 5.0))
         # Guards against a few sick caches shrinking the limit for all.
         if part >= 0.5:
             self.fleet.present.add(now, min(pace, 5.0))
