--- a/calicofall/policy.py
+++ b/calicofall/policy.py
@@ -20,7 +20,7 @@
 PRIME = (1 << 61) - 1
 FADE = 20_000.0  # the design's ramp of a weight after the listed start
 HOLDS = 10_000.0  # what was seen to be held is believed for one to two of these
-EVEN = 1.0  # of a cache's mean, what it may be sent over SENT ms before its keys are passed on
+SEEN = 8.0  # up to so many RPCs in SENT ms a cache is sent its mean, beyond it up to twice that
 SENT = 60_000.0
 SPILL = 2  # RPCs of this proxy in hand at an owner from which it spills: the design's floor
 REVIEW = 250.0  # between two looks at the measures, while anything happens
@@ -122,7 +122,9 @@
             self.value, self.fell_at = self.value * max(0.5, self.slack / mean), now
             self.present.clear()  # the same answers shrink it once
         elif self.short and (mean <= self.slack if mean is not None else now - self.fell_at >= 2000.0):
-            self.value += self.step * sqrt(self.value) * min(4.0, (now - self.seen_at) / REVIEW)
+            # It looks for its place the faster, the more its answers are within what is tolerated.
+            step = self.step * sqrt(self.value) + 0.1 * self.value * (self.slack / (mean or self.slack) - 1)
+            self.value += step * min(4.0, (now - self.seen_at) / REVIEW)
         self.value = max(self.floor, self.value)
         self.short, self.seen_at = False, now
 
@@ -356,23 +358,27 @@
         if not fit:
             return max(ranking, key=lambda c: c.part)
         # Guards against spills that fill a busy origin: a neighbour that lacks the key has to fetch it.
-        busy = not self.aside and not rpc.sent and not self.origin.free(now, 0.5)
+        busy = not rpc.sent and not self.origin.free(now, 0.5)
         owner, *others = fit
-        if not self._over(now, owner):
+        if not self._over(now, owner, busy):
             return owner
         others.sort(key=lambda c: not self._holds(c, key))  # a spill needs no fetch where the key is held
         for cache in others:
-            if not self._over(now, cache) and (not busy or self._holds(cache, key)):
+            if not self._over(now, cache, busy) and (self.aside or not busy or self._holds(cache, key)):
                 return cache
-        return owner if busy else min(fit, key=lambda c: (c.held, c.sent.count(now) / self.weights[c.name]))
+        if busy and not self.aside:
+            return owner
+        return min(fit, key=lambda c: (c.held, c.sent.count(now) / self.weights[c.name]))
 
-    def _over(self, now: float, cache: Cache) -> bool:
+    def _over(self, now: float, cache: Cache, busy: bool) -> bool:
         """Whether a cache is over its spill threshold: in flight, or in what it was lately sent.
 
         Guards against few keys making most of the load: a proxy of hundreds never has two of them in flight.
         """
-        mean = self.sent.count(now) / self.total * self.weights[cache.name] * self.swift.get(cache.kind, 1.0)
-        return cache.held >= SPILL or cache.sent.count(now) > EVEN * mean
+        if busy or cache.held >= SPILL:
+            return cache.held >= SPILL
+        mean = self.sent.count(now) / self.total * self.weights[cache.name]
+        return cache.sent.count(now) > max(mean * self.swift.get(cache.kind, 1.0), 2 * mean - SEEN)
 
     def _allowed(self, now: float, rpc: Rpc, cache: Cache) -> bool:
         first = rpc.first_run()
