--- a/calicofall/policy.py
+++ b/calicofall/policy.py
@@ -116,8 +116,8 @@
         self.short = self.short or not free
         return free
 
-    def review(self, now: float) -> None:
-        mean = self.present.recent(now)
+    def review(self, now: float, least: float = LEAST) -> None:
+        mean = self.present.recent(now, least)
         if mean is not None and mean > self.slack and now - self.fell_at >= 1000.0:
             self.value, self.fell_at = self.value * max(0.5, self.slack / mean), now
             self.present.clear()  # the same answers shrink it once
@@ -262,7 +262,7 @@
 
     def _review(self, now: float) -> None:
         self.fleet.review(now)
-        self.origin.review(now)
+        self.origin.review(now, 3)
         self.middle = max(1.0, self.fleet.present.recent(now) or self.middle)
         if self.warm:
             self.carried = max(self.done.count(now) / self.warm / 10_000.0, self.carried * 0.98)
