--- a/calicofall/policy.py
+++ b/calicofall/policy.py
@@ -22,6 +22,7 @@
 HOLDS = 10_000.0  # what was seen to be held is believed for one to two of these
 SEEN = 8.0  # up to so many RPCs in SENT ms a cache is sent its mean, beyond it up to twice that
 SENT = 60_000.0
+KEYS = 30_000.0  # how often a key was asked for is counted over one to two of these
 SPILL = 2  # RPCs of this proxy in hand at an owner from which it spills: the design's floor
 REVIEW = 250.0  # between two looks at the measures, while anything happens
 PURSE = 3.0  # RPCs that a tenant may have unused, beside a second of its quota: few come at one proxy
@@ -138,7 +139,7 @@
         self.held, self.heard = 0, 0.0  # last heard of, or first waited for
         self.stuck = 0  # of these, sent before it was set aside or left the list: they take no room
         self.sent = Ring(SENT, 6)
-        self.wishes = Ring(4000.0, 8)  # RPCs that were to go there while it was cold
+        self.wishes = Ring(16_000.0, 8)  # RPCs that were to go there while it was cold
         self.part, self.part_at, self.aside = 1.0, 0.0, False  # of what it owns, what it is sent
 
     def clear(self) -> None:
@@ -185,6 +186,9 @@
         self.carried = 0.0  # completed by a warm cache, per ms and unit of weight, this proxy's share
         self.holders: list[set[tuple]] = [set(), set()]  # (key, cache) seen to be held; newer, older
         self.turn_at = now + HOLDS
+        self.unseen, self.missing = Ring(60_000.0, 24), 0.5  # share of fetches, of keys not seen to be held
+        self.asked_for: list[dict[int, int]] = [{}, {}]  # how often a key was asked for; newer, older
+        self.keys_at = now + KEYS
         quotas = {t["name"]: t.get("quota") or 0.0 for t in deployment.get("tenants") or []}
         self.quota = {name: quota / 1000.0 / self.proxies for name, quota in quotas.items()}
         self.purse = {name: [PURSE * self.chance.random(), now] for name in self.quota}
@@ -289,6 +293,10 @@
                        if self.quota[name] > 0)
         # Clients are not spread evenly over proxies: the middle tenant shows this proxy's part.
         self.scale = min(2.0, max(1.0, fills[len(fills) // 2])) if fills else 1.0
+        missing = self.unseen.recent(now, LEAST, 10_000.0)
+        self.missing = self.missing if missing is None else missing
+        if now >= self.keys_at:
+            self.asked_for, self.keys_at = [{}, self.asked_for[0]], now + KEYS
         if now >= self.turn_at:
             self.holders, self.turn_at = [set(), self.holders[0]], now + HOLDS
 
@@ -404,8 +412,12 @@
         rate = max(self.carried * cache.weight, 1.5 / self.soonest / self.proxies)
         seen = max(500.0, min(10_000.0, now - self.born))
         wished = (self.flow.count(now) + 1) / seen * self.weights.get(cache.name, 0.0) / self.total
-        if cache.wishes.count(now) >= 4:
-            wished = max(wished, cache.wishes.count(now) / 4000.0)
+        # Guards against a hot key that finds a cold owner: each proxy sends it only seldom, all of them often.
+        asked = self.asked_for[0].get(rpc.key, 0) + self.asked_for[1].get(rpc.key, 0)
+        span = min(now - self.born, now - self.keys_at + 2 * KEYS)
+        for count, over in ((asked, span), (cache.wishes.count(now), min(now - cache.started, 16_000.0))):
+            if count >= 2:
+                wished = max(wished, count / max(1000.0, over))
         if self.chance.random() * wished < 0.6 * part * rate:
             return True
         rpc.passed.add(cache.name)
@@ -442,6 +454,8 @@
         if rpc.within_share is None:
             rpc.within_share = self._share(now, rpc)
             self.retries = min(self.most_retries, self.retries + 0.2)
+            if rpc.key is not None:
+                self.asked_for[0][rpc.key] = self.asked_for[0].get(rpc.key, 0) + 1
         room = rpc.until - now
         if room <= 2.0 or len(rpc.sent) >= self.most or not self._may_send(now, rpc, method):
             return self._give_up(rpc, method)
@@ -551,6 +565,8 @@
         if outcome == "completed":
             if not self._cold(now, cache):
                 self.done.add(now)
+            if not rpc.write and not self._holds(cache, rpc.key):
+                self.unseen.add(now, note in ("fetched", "fetching"))
             if fetched:
                 self._fetched(now, took)
             else:
@@ -564,7 +580,8 @@
         elif outcome == "full":
             self.fleet.present.add(now, 5.0)
         elif outcome in ("error", "timeout"):
-            if fetch:
+            # Guards against slow caches shrinking the origin's limit: most of what may fetch does not.
+            if fetch and (rpc.write or self.missing > 0.5):
                 self.origin.present.add(now, 6.0)
             elif outcome == "timeout":
                 self._paced(now, cache, pace)
