--- a/calicofall/policy.py
+++ b/calicofall/policy.py
@@ -20,7 +20,7 @@
 PRIME = (1 << 61) - 1
 FADE = 20_000.0  # the design's ramp of a weight after the listed start
 HOLDS = 10_000.0  # what was seen to be held is believed for one to two of these
-SEEN = 8.0  # up to so many RPCs in SENT ms a cache is sent its mean, beyond it up to twice that
+SELDOM = 16.0  # a proxy that sends a cache fewer RPCs in SENT ms learns nothing of it from what is in flight
 SENT = 60_000.0
 KEYS = 30_000.0  # how often a key was asked for is counted over one to two of these
 SPILL = 2  # RPCs of this proxy in hand at an owner from which it spills: the design's floor
@@ -93,7 +93,8 @@
 
     SPAN = 2000.0
 
-    def __init__(self, now: float, proxies: int) -> None:
+    def __init__(self, now: float, proxies: int, least: float) -> None:
+        self.least, self.haste = least, 0.1 if proxies > SELDOM else 0.0
         self.value, self.floor, self.slack, self.held, self.short = 1.0, 1.0, 2.5, 0.0, False
         self.step = 0.5 / sqrt(proxies)  # all proxies together grow by half the root of what all have
         self.spare, self.at = 0.0, now  # left unused lately, in flight times ms
@@ -117,14 +118,15 @@
         self.short = self.short or not free
         return free
 
-    def review(self, now: float, least: float = LEAST) -> None:
-        mean = self.present.recent(now, least)
+    def review(self, now: float) -> None:
+        mean = self.present.recent(now, self.least)
         if mean is not None and mean > self.slack and now - self.fell_at >= 1000.0:
             self.value, self.fell_at = self.value * max(0.5, self.slack / mean), now
             self.present.clear()  # the same answers shrink it once
         elif self.short and (mean <= self.slack if mean is not None else now - self.fell_at >= 2000.0):
-            # It looks for its place the faster, the more its answers are within what is tolerated.
-            step = self.step * sqrt(self.value) + 0.1 * self.value * (self.slack / (mean or self.slack) - 1)
+            # A small part of many finds its place the faster, the shorter its answers are.
+            step = self.step * sqrt(self.value)
+            step += self.haste * self.value * (self.slack / (mean or self.slack) - 1)
             self.value += step * min(4.0, (now - self.seen_at) / REVIEW)
         self.value = max(self.floor, self.value)
         self.short, self.seen_at = False, now
@@ -178,7 +180,9 @@
         self.usual = {name: Ring(60_000.0, 24) for name in self.methods}  # completed answer times
         self.typical: dict[str, float | None] = dict.fromkeys(self.methods)
         self.fetches, self.fetch_usual = Ring(60_000.0, 24), self.soonest / 3
-        self.fleet, self.origin = Limit(now, self.proxies), Limit(now, self.proxies)
+        self.fleet = Limit(now, self.proxies, LEAST)
+        # Behind the caches it is seen through their queues; asked directly, each answer tells of it.
+        self.origin = Limit(now, self.proxies, 3 if self.aside else LEAST)
         self.most_retries = max(1.0, 30.0 / self.proxies)
         self.retries = self.most_retries * self.chance.random()
         self.flow, self.sent = Ring(10_000.0, 20), Ring(SENT, 6)  # sent to caches
@@ -194,6 +198,7 @@
         self.purse = {name: [PURSE * self.chance.random(), now] for name in self.quota}
         self.asked = {name: Ring(16_000.0, 8) for name in self.quota}
         self.paces: dict[str, Ring] = {}  # by kind of machine: one proxy meets a cache too seldom
+        self.seldom = self.proxies > SELDOM
         self.swift: dict[str, float] = {}  # what a kind can be sent beside its weight, for answers as fast
         self.scale = self.middle = 1.0
         gains = {name: method.get("gain") or 1.0 for name, method in self.methods.items()}
@@ -266,7 +271,7 @@
 
     def _review(self, now: float) -> None:
         self.fleet.review(now)
-        self.origin.review(now, 3)
+        self.origin.review(now)
         self.middle = max(1.0, self.fleet.present.recent(now) or self.middle)
         if self.warm:
             self.carried = max(self.done.count(now) / self.warm / 10_000.0, self.carried * 0.98)
@@ -293,6 +298,7 @@
                        if self.quota[name] > 0)
         # Clients are not spread evenly over proxies: the middle tenant shows this proxy's part.
         self.scale = min(2.0, max(1.0, fills[len(fills) // 2])) if fills else 1.0
+        self.seldom = self.sent.count(now) < SELDOM * len(self.usable)
         missing = self.unseen.recent(now, LEAST, 10_000.0)
         self.missing = self.missing if missing is None else missing
         if now >= self.keys_at:
@@ -383,10 +389,10 @@
 
         Guards against few keys making most of the load: a proxy of hundreds never has two of them in flight.
         """
-        if busy or cache.held >= SPILL:
+        if cache.held >= SPILL or busy or not self.seldom:
             return cache.held >= SPILL
-        mean = self.sent.count(now) / self.total * self.weights[cache.name]
-        return cache.sent.count(now) > max(mean * self.swift.get(cache.kind, 1.0), 2 * mean - SEEN)
+        even = self.sent.count(now) / self.total * self.weights[cache.name]
+        return cache.sent.count(now) > even * self.swift.get(cache.kind, 1.0)
 
     def _allowed(self, now: float, rpc: Rpc, cache: Cache) -> bool:
         first = rpc.first_run()
@@ -412,7 +418,7 @@
         rate = max(self.carried * cache.weight, 1.5 / self.soonest / self.proxies)
         seen = max(500.0, min(10_000.0, now - self.born))
         wished = (self.flow.count(now) + 1) / seen * self.weights.get(cache.name, 0.0) / self.total
-        # Guards against a hot key that finds a cold owner: each proxy sends it only seldom, all of them often.
+        # Guards against a hot key that finds a cold owner: each proxy sends it seldom, all of them often.
         asked = self.asked_for[0].get(rpc.key, 0) + self.asked_for[1].get(rpc.key, 0)
         span = min(now - self.born, now - self.keys_at + 2 * KEYS)
         for count, over in ((asked, span), (cache.wishes.count(now), min(now - cache.started, 16_000.0))):
@@ -581,7 +587,7 @@
             self.fleet.present.add(now, 5.0)
         elif outcome in ("error", "timeout"):
             # Guards against slow caches shrinking the origin's limit: most of what may fetch does not.
-            if fetch and (rpc.write or self.missing > 0.5):
+            if fetch and (rpc.write or not self.seldom or self.missing > 0.5):
                 self.origin.present.add(now, 6.0)
             elif outcome == "timeout":
                 self._paced(now, cache, pace)
