--- a/calicofall/policy.py
+++ b/calicofall/policy.py
@@ -4,7 +4,7 @@
 One `Policy(deployment, seed, now)` a proxy; times are ms with fractions. Three calls give plain values back:
   where(now, rpc) -> verdict: where to send this RPC, or not yet, or never
   after(now, rpc, number, took, note, report) -> verdict or None, once rpc.sent[number].outcome is known
-  wait(now) -> (ms until the next call, errands such as ("follow",), ("log", text))
+  wait(now), after each batch -> (ms until the next call, errands such as ("follow",), ("log", text))
 A verdict is ("send", cache, time-out), ("wait", ms), ("exhausted", come-back ms) or ("errored",); the caller
 carries it out (rpc.sent has the transmission already), and calls where() again after a wait. News comes by
 listed(), left() and probed().
@@ -15,6 +15,7 @@
 from math import inf, log, sqrt
 from random import Random
 
+from calicofall.ring import Ring
 from calicofall.rpc import Rpc, Transmission
 
 PRIME = (1 << 61) - 1
@@ -23,6 +24,7 @@
 SELDOM = 16.0  # a proxy that sends a cache fewer RPCs in SENT ms learns nothing of it from what is in flight
 SENT = 60_000.0
 KEYS = 30_000.0  # how often a key was asked for is counted over one to two of these
+SPAN = 2000.0  # a limit holds for the mean over this time
 SPILL = 2  # RPCs of this proxy in hand at an owner from which it spills: the design's floor
 REVIEW = 250.0  # between two looks at the measures, while anything happens
 PURSE = 3.0  # RPCs that a tenant may have unused, beside a second of its quota: few come at one proxy
@@ -36,63 +38,12 @@
     return int.from_bytes(blake2b(name, digest_size=8).digest()) % PRIME
 
 
-class Ring:
-    """Counts and sums over the last `span` ms, in fixed buckets of time that are used again."""
-
-    __slots__ = ("width", "marks", "counts", "sums")
-
-    def __init__(self, span: float, buckets: int = 8) -> None:
-        self.width = span / buckets
-        self.marks, self.counts, self.sums = [-1] * buckets, [0.0] * buckets, [0.0] * buckets
-
-    def add(self, now: float, value: float = 0.0, count: float = 1.0) -> None:
-        mark = int(now // self.width)
-        i = mark % len(self.marks)
-        if self.marks[i] != mark:
-            self.marks[i], self.counts[i], self.sums[i] = mark, 0.0, 0.0
-        self.counts[i] += count
-        self.sums[i] += value
-
-    def live(self, now: float) -> list[int]:
-        oldest = int(now // self.width) - len(self.marks)
-        return [i for i, mark in enumerate(self.marks) if mark > oldest]
-
-    def count(self, now: float) -> float:
-        return sum(self.counts[i] for i in self.live(now))
-
-    def clear(self) -> None:
-        self.marks = [-1] * len(self.marks)
-
-    def recent(self, now: float, least: float = LEAST, span: float = 1000.0) -> float | None:
-        """The mean over at least `span` ms, further back until enough was seen; None if it never was."""
-        mark, count, total = int(now // self.width), 0.0, 0.0
-        for back in range(len(self.marks)):
-            i = (mark - back) % len(self.marks)
-            if self.marks[i] == mark - back:
-                count, total = count + self.counts[i], total + self.sums[i]
-            if count >= least and (back + 1) * self.width >= span:
-                return total / count
-        return total / count if count >= least else None
-
-    def shortest(self, now: float, default: float | None) -> float | None:
-        """The least mean of successive buckets that together saw enough to have one."""
-        means, count, total = [], 0.0, 0.0
-        for i in sorted(self.live(now), key=self.marks.__getitem__):
-            count, total = count + self.counts[i], total + self.sums[i]
-            if count >= 2 * LEAST:  # few answers make it too short by chance
-                means.append(total / count)
-                count = total = 0.0
-        return min(means, default=default)
-
-
 class Limit:
     """An in-flight limit that follows the shortest answer time over the present one.
 
     A proxy's part of a large fleet is under one RPC: the limit holds for the mean over a span of time.
     """
 
-    SPAN = 2000.0
-
     def __init__(self, now: float, proxies: int, least: float) -> None:
         self.least, self.haste = least, 0.1 if proxies > SELDOM else 0.0
         self.value, self.floor, self.slack, self.held, self.short = 1.0, 1.0, 2.5, 0.0, False
@@ -101,7 +52,7 @@
         self.present, self.fell_at, self.seen_at = Ring(16_000.0, 32), 0.0, 0.0
 
     def take(self, now: float, count: float) -> None:
-        top = self.value * self.SPAN
+        top = self.value * SPAN
         self.spare = max(-top, min(top, self.spare + (self.value - self.held) * (now - self.at)))
         self.held, self.at = self.held + count, now
 
@@ -110,7 +61,7 @@
         self.take(now, 0.0)
         # Guards against chance: where a few are in flight on average, two at once are no overload.
         most = max(1.0, self.value * part + min(self.value, 2.0))
-        return self.held < most and self.spare > (1 - part) * self.value * self.SPAN
+        return self.held < most and self.spare > (1 - part) * self.value * SPAN
 
     def room(self, now: float, part: float) -> bool:
         """As free(); the limit may grow only where something was turned away."""
@@ -163,10 +114,10 @@
         self.most = self.caps.get("most_transmissions") or 3
         data = deployment.get("data") or {}
         self.aside = data.get("mode") == "aside"
-        kind, kinds = data.get("origin_kind", -1), deployment.get("kinds") or []
-        self.origin_kind = kinds[kind] if self.aside and 0 <= kind < len(kinds) else None
+        kinds = dict(enumerate(deployment.get("kinds") or []))
+        self.origin_kind = kinds.get(data.get("origin_kind", -1)) if self.aside else None
         self.caches: dict[str, Cache] = {}
-        self.origins: list[Cache] = []
+        self.origins: dict[str, Cache] = {}
         self.usable: list[tuple[int, float, Cache]] = []  # ready: (salt, -present weight, cache)
         self.weights: dict[str, float] = {}
         self.total = self.warm = 0.0  # sums of the present weights, and of those of warm caches
@@ -185,14 +136,13 @@
         self.origin = Limit(now, self.proxies, 3 if self.aside else LEAST)
         self.most_retries = max(1.0, 30.0 / self.proxies)
         self.retries = self.most_retries * self.chance.random()
-        self.flow, self.sent = Ring(10_000.0, 20), Ring(SENT, 6)  # sent to caches
-        self.done = Ring(10_000.0, 20)  # completed by warm caches
+        # Sent to caches, lately and over a minute; completed by warm caches
+        self.flow, self.sent, self.done = Ring(10_000.0, 20), Ring(SENT, 6), Ring(10_000.0, 20)
         self.carried = 0.0  # completed by a warm cache, per ms and unit of weight, this proxy's share
         self.holders: list[set[tuple]] = [set(), set()]  # (key, cache) seen to be held; newer, older
-        self.turn_at = now + HOLDS
+        self.turn_at, self.keys_at = now + HOLDS, now + KEYS
         self.unseen, self.missing = Ring(60_000.0, 24), 0.5  # share of fetches, of keys not seen to be held
         self.asked_for: list[dict[int, int]] = [{}, {}]  # how often a key was asked for; newer, older
-        self.keys_at = now + KEYS
         quotas = {t["name"]: t.get("quota") or 0.0 for t in deployment.get("tenants") or []}
         self.quota = {name: quota / 1000.0 / self.proxies for name, quota in quotas.items()}
         self.purse = {name: [PURSE * self.chance.random(), now] for name in self.quota}
@@ -220,16 +170,11 @@
             self.ask_at, self.ask_gap = inf, 250.0
         first = not self.caches
         if kind != "delta":
-            for cache in [*self.caches.values(), *self.origins]:
+            for cache in [*self.caches.values(), *self.origins.values()]:
                 cache.ready = False
         for name, zone, machine, cell, state, weight, started in entries:
-            if machine == self.origin_kind and self.origin_kind is not None:
-                cache = next((o for o in self.origins if o.name == name), None)
-                if cache is None:
-                    cache = Cache(name)
-                    self.origins.append(cache)
-            else:
-                cache = self.caches.get(name) or self.caches.setdefault(name, Cache(name))
+            among = self.origins if self.origin_kind and machine == self.origin_kind else self.caches
+            cache = among.get(name) or among.setdefault(name, Cache(name))
             if started > cache.started:  # a fresh process: what was held against the old one is void
                 cache.clear()
             cache.zone, cache.kind, cache.cell, cache.started = zone, machine, cell, started
@@ -242,16 +187,13 @@
         share = max(1, len(self.usable)) / self.proxies
         self.fleet.floor, self.origin.floor = share, share / 2
         if first:  # a start to find the limits from
+            # Guards against all proxies having their first whole RPC at the same time.
             for limit, start in ((self.fleet, 6 * share), (self.origin, 3 * share)):
-                limit.value = start
-                # Guards against all proxies having their first whole RPC at the same time.
-                limit.spare = start * limit.SPAN * (1.0 if start >= 1 else self.chance.random())
+                limit.value, limit.spare = start, start * SPAN * (1.0 if start >= 1 else self.chance.random())
 
     def left(self, now: float, rpc: Rpc) -> list[int]:
         """The client has left: which transmissions to call off."""
-        if not self.caps.get("cancel"):
-            return []
-        return [number for number, tx in enumerate(rpc.sent) if tx.outcome is None]
+        return [n for n, tx in enumerate(rpc.sent) if tx.outcome is None and self.caps.get("cancel")]
 
     def probed(self, now: float, name: str, fine: bool, took: float) -> None:
         """Probes are work for the caches and are not sent: RPCs tell as much."""
@@ -272,14 +214,13 @@
     def _review(self, now: float) -> None:
         self.fleet.review(now)
         self.origin.review(now)
-        self.middle = max(1.0, self.fleet.present.recent(now) or self.middle)
+        self.middle = max(1.0, self.fleet.present.recent(now, LEAST) or self.middle)
         if self.warm:
             self.carried = max(self.done.count(now) / self.warm / 10_000.0, self.carried * 0.98)
-        if self.overloaded != (now - self.fleet.fell_at < 4000.0 and self.fleet.fell_at > 0.0):
+        if self.overloaded != (0.0 < self.fleet.fell_at > now - 4000.0):
             self.overloaded = not self.overloaded
-            mode = "overload" if self.overloaded else "overload over"
-            self.errands.append(("log", f"{mode}: {self.fleet.held:.0f} in flight, "
-                                        f"limit {self.fleet.value:.2f}, answers {self.middle:.1f} of usual"))
+            self.errands.append(("log", f"overload {'begins' if self.overloaded else 'over'}: limit "
+                                        f"{self.fleet.value:.2f}, answers {self.middle:.1f} of usual"))
         if now >= self.fade_at:
             self._refresh(now)
         if now < self.measure_at:
@@ -289,8 +230,8 @@
         known = [pace for pace in paces.values() if pace]
         self.swift = {kind: sum(known) / len(known) / pace for kind, pace in paces.items() if pace}
         for name, ring in self.usual.items():
-            self.typical[name] = ring.shortest(now, self.typical[name])
-        self.fetch_usual = self.fetches.shortest(now, self.fetch_usual)
+            self.typical[name] = ring.shortest(now, 2 * LEAST, self.typical[name])
+        self.fetch_usual = self.fetches.shortest(now, 2 * LEAST, self.fetch_usual)
         if self.aside:
             # Guards against a limit found in a jam: a fetch has to leave time within the soft deadline.
             self.origin.slack = min(2.5, max(1.2, 0.8 * self.soonest / self.fetch_usual))
@@ -299,8 +240,7 @@
         # Clients are not spread evenly over proxies: the middle tenant shows this proxy's part.
         self.scale = min(2.0, max(1.0, fills[len(fills) // 2])) if fills else 1.0
         self.seldom = self.sent.count(now) < SELDOM * len(self.usable)
-        missing = self.unseen.recent(now, LEAST, 10_000.0)
-        self.missing = self.missing if missing is None else missing
+        self.missing = self.unseen.recent(now, LEAST, 10_000.0) or 0.5
         if now >= self.keys_at:
             self.asked_for, self.keys_at = [{}, self.asked_for[0]], now + KEYS
         if now >= self.turn_at:
@@ -380,9 +320,8 @@
         for cache in others:
             if not self._over(now, cache, busy) and (self.aside or not busy or self._holds(cache, key)):
                 return cache
-        if busy and not self.aside:
-            return owner
-        return min(fit, key=lambda c: (c.held, c.sent.count(now) / self.weights[c.name]))
+        least = min(fit, key=lambda c: (c.held, c.sent.count(now) / self.weights[c.name]))
+        return owner if busy and not self.aside else least
 
     def _over(self, now: float, cache: Cache, busy: bool) -> bool:
         """Whether a cache is over its spill threshold: in flight, or in what it was lately sent.
@@ -424,10 +363,9 @@
         for count, over in ((asked, span), (cache.wishes.count(now), min(now - cache.started, 16_000.0))):
             if count >= 2:
                 wished = max(wished, count / max(1000.0, over))
-        if self.chance.random() * wished < 0.6 * part * rate:
-            return True
-        rpc.passed.add(cache.name)
-        return False
+        if self.chance.random() * wished >= 0.6 * part * rate:
+            rpc.passed.add(cache.name)
+        return cache.name not in rpc.passed
 
     # Admission: sharing and overload
 
@@ -440,8 +378,7 @@
             self.asked[rpc.tenant].add(now)
         purse = self.purse[rpc.tenant]
         rate = quota * self.scale
-        purse[0] = min(rate * 1000.0 + PURSE, purse[0] + rate * (now - purse[1]))
-        purse[1] = now
+        purse[:] = min(rate * 1000.0 + PURSE, purse[0] + rate * (now - purse[1])), now
         if purse[0] >= 1.0:
             purse[0] -= 1.0
             return True
@@ -472,9 +409,8 @@
         cache = self._choose(now, rpc)
         if cache is None:  # waiting would not change what was tried, or the chance taken
             return self._give_up(rpc, method)
-        fetch = 0.0
-        if not self.aside:  # what is likely to need the origin, as far as this proxy has seen
-            fetch = float(rpc.write or not self._holds(cache, rpc.key))
+        # What is likely to need the origin behind the caches, as far as this proxy has seen.
+        fetch = float(not self.aside and (rpc.write or not self._holds(cache, rpc.key)))
         # Guards against a jam behind the caches: what is likely to need the origin waits for room there.
         if fetch and not self._room(now, self.origin, rpc):
             return self._later(now, rpc, method)
@@ -487,7 +423,7 @@
         if not cache.held:
             cache.heard = now
         cache.held += 1
-        if cache not in self.origins:
+        if cache.name in self.caches:
             self.flow.add(now)
             self.sent.add(now)
             cache.sent.add(now)
@@ -497,25 +433,22 @@
         return "send", cache.name, rpc.until - now
 
     def _to_origin(self, now: float, rpc: Rpc, method: dict) -> Verdict:
-        origin = next((o for o in self.origins if o.ready), None)
-        if origin is None or not self._room(now, self.origin, rpc):
-            return self._later(now, rpc, method)
-        return self._send(now, rpc, origin, 1.0)
+        origin = next((o for o in self.origins.values() if o.ready), None)
+        room = origin is not None and self._room(now, self.origin, rpc)
+        return self._send(now, rpc, origin, 1.0) if room else self._later(now, rpc, method)
 
     def _may_send(self, now: float, rpc: Rpc, method: dict) -> bool:
         """Rule 2: whether another transmission may have an effect twice."""
         first = rpc.first_run()
         if any(tx.outcome is None for tx in rpc.sent):
             return False
-        if first is None or method["repeats"] == "retriable":
-            return True
-        return method["repeats"] == "deduped" and now < first.at + method["window"]
+        deduped = method["repeats"] == "deduped"
+        return first is None or method["repeats"] == "retriable" or \
+            (deduped and now < first.at + method["window"])
 
     def _later(self, now: float, rpc: Rpc, method: dict) -> Verdict:
         """Not yet, while an answer within the soft deadline is likely; else never."""
-        patience = (0.25 if rpc.within_share else 0.0) * method["soft_deadline"]
-        if rpc.sent:
-            patience *= 2
+        patience = (0.5 if rpc.sent else 0.25) * method["soft_deadline"] if rpc.within_share else 0.0
         if now - rpc.arrived < patience and rpc.until - now > 20.0:
             return "wait", 15.0
         return self._give_up(rpc, method)
@@ -569,20 +502,19 @@
         # A slow origin is not the cache's: an answer that took a fetch is measured apart.
         fetched = note == "fetched" or (rpc.write and not self.aside)
         if outcome == "completed":
-            if not self._cold(now, cache):
-                self.done.add(now)
+            self.done.add(now, count=not self._cold(now, cache))
             if not rpc.write and not self._holds(cache, rpc.key):
                 self.unseen.add(now, note in ("fetched", "fetching"))
             if fetched:
+                self.fetches.add(now, took)
                 self._fetched(now, took)
             else:
                 self.usual[rpc.method].add(now, took)
                 self._paced(now, cache, pace)
-            if rpc.key is not None:
-                if rpc.write:
-                    self._void(rpc.key)
-                else:
-                    self.holders[0].add((rpc.key, cache.name))
+            if rpc.write:
+                self._void(rpc.key)
+            else:
+                self.holders[0].add((rpc.key, cache.name))
         elif outcome == "full":
             self.fleet.present.add(now, 5.0)
         elif outcome in ("error", "timeout"):
@@ -609,23 +541,22 @@
         elif part < 1.0 and pace < 2.0 * self.middle:
             cache.part, cache.part_at = part * 2, now
 
-    def _void(self, key: int) -> None:
-        for cache in self._ranking(key):
+    def _void(self, key: int | None) -> None:
+        for cache in self._ranking(key or 0):
             for held in self.holders:
                 held.discard((key, cache.name))
 
     def _fetched(self, now: float, took: float) -> None:
-        self.fetches.add(now, took)
         self.origin.present.add(now, min(took / max(self.fetch_usual, 1.0), 10.0))
 
     def _from_origin(self, now: float, rpc: Rpc, outcome: str, took: float) -> None:
-        if outcome == "completed":
+        if outcome in ("completed", "timeout"):
             self._fetched(now, took)
-            if rpc.write and rpc.key is not None:
+        if outcome == "completed":
+            self.fetches.add(now, took)
+            if rpc.write:
                 self._void(rpc.key)
-            elif not rpc.write:  # what the origin answered is stored where it missed first
+            else:  # what the origin answered is stored where it missed first
                 self.holders[0].update((rpc.key, tx.cache) for tx in rpc.sent[:2] if tx.outcome == "missed")
-        elif outcome == "timeout":
-            self.origin.present.add(now, min(took / max(self.fetch_usual, 1.0), 10.0))
-        elif outcome != "cancelled":
+        elif outcome not in ("timeout", "cancelled"):
             self.origin.present.add(now, 4.0)
--- /dev/null
+++ b/calicofall/ring.py
@@ -0,0 +1,50 @@
+"""What is measured over time."""
+
+
+class Ring:
+    """Counts and sums over the last `span` ms, in fixed buckets of time that are used again."""
+
+    __slots__ = ("width", "marks", "counts", "sums")
+
+    def __init__(self, span: float, buckets: int = 8) -> None:
+        self.width = span / buckets
+        self.marks, self.counts, self.sums = [-1] * buckets, [0.0] * buckets, [0.0] * buckets
+
+    def add(self, now: float, value: float = 0.0, count: float = 1.0) -> None:
+        mark = int(now // self.width)
+        i = mark % len(self.marks)
+        if self.marks[i] != mark:
+            self.marks[i], self.counts[i], self.sums[i] = mark, 0.0, 0.0
+        self.counts[i] += count
+        self.sums[i] += value
+
+    def live(self, now: float) -> list[int]:
+        oldest = int(now // self.width) - len(self.marks)
+        return [i for i, mark in enumerate(self.marks) if mark > oldest]
+
+    def count(self, now: float) -> float:
+        return sum(self.counts[i] for i in self.live(now))
+
+    def clear(self) -> None:
+        self.marks = [-1] * len(self.marks)
+
+    def recent(self, now: float, least: float, span: float = 1000.0) -> float | None:
+        """The mean over at least `span` ms, further back until enough was seen; None if it never was."""
+        mark, count, total = int(now // self.width), 0.0, 0.0
+        for back in range(len(self.marks)):
+            i = (mark - back) % len(self.marks)
+            if self.marks[i] == mark - back:
+                count, total = count + self.counts[i], total + self.sums[i]
+            if count >= least and (back + 1) * self.width >= span:
+                return total / count
+        return total / count if count >= least else None
+
+    def shortest(self, now: float, least: float, default: float | None) -> float | None:
+        """The least mean of successive buckets that together saw enough to have one."""
+        means, count, total = [], 0.0, 0.0
+        for i in sorted(self.live(now), key=self.marks.__getitem__):
+            count, total = count + self.counts[i], total + self.sums[i]
+            if count >= least:  # few answers make it too short by chance
+                means.append(total / count)
+                count = total = 0.0
+        return min(means, default=default)
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -1,9 +1,11 @@
 """A small test for each failure found, the module alone."""
 
+from random import Random
+
 import pytest
 from helpers import fleet, rpc_for, send
 
-from calicofall.policy import Policy
+from calicofall.policy import Limit, Policy
 
 
 def test_a_miss_goes_to_the_origin_at_once() -> None:
@@ -31,7 +33,7 @@
     policy.listed(0.0, "full", 1, [(f"c{i}", "z", "box", 0, "ready", None, 0.0) for i in range(5)])
     owners = {send(policy, 0.0, rpc_for("read"))[1] for _ in range(2)}
     assert len(owners) == 1
-    policy.origin.held = policy.origin.value * 0.6
+    policy.origin.value, policy.origin.held, policy.origin.spare = 100.0, 60.0, 200_000.0
     owners |= {send(policy, 0.0, rpc_for("read"))[1] for _ in range(3)}
     assert len(owners) == 1
     policy.origin.held = 0
@@ -49,8 +51,8 @@
             rpc.sent[0].outcome, rpc.over = "completed", True
             policy.after(now + 5.0, rpc, 0, 50.0, "hit", None)
         policy.wait(now)
-    assert policy.caches["c3"].aside_since is not None
-    assert all(c.aside_since is None for c in policy.caches.values() if c.name != "c3")
+    assert policy.caches["c3"].aside
+    assert not any(c.aside for c in policy.caches.values() if c.name != "c3")
     assert policy.fleet.held < 10
 
 
@@ -82,24 +84,106 @@
     assert send(policy, 970.0, rpc_for("order", 1, 0.0, 1000.0, "a"))[0] == "exhausted"
 
 
-def test_cold_caches_stay_within_this_proxys_part() -> None:
-    """Where all caches are cold, weights low alike cap nothing: the list of a rolling deploy at its end."""
-    policy, sends = Policy(fleet(proxies=2), 1, 0.0), {f"c{i}": [] for i in range(6)}
-    for now in range(0, 12_000, 10):
-        if now in (0, 6000):
-            policy.listed(now, "full", 1, [(c, "z", "box", 0, "ready", None, float(now)) for c in sends])
-        rpc = rpc_for("read", now % 301, now, now + 900.0)
-        if (now >= 6000 or now % 100 == 0) and send(policy, now, rpc)[0] == "send":
+def together(proxies: int, caches: int, old: int, keys: list[int]) -> list[tuple[float, str]]:
+    """What many instances send, each alone; then all caches but the old are new, twice the traffic."""
+    names, sends, chance = [f"c{i}" for i in range(caches)], [], Random(5)
+    fleet_of = [Policy(fleet(proxies=proxies), seed, 0.0) for seed in range(proxies)]
+    for now in [*range(0, 20_000, 10), *range(20_000, 26_000, 5)]:
+        if now in (0, 20_000):
+            entries = [(c, "z", "box", 0, "ready", None, float(now) * (c not in names[:old])) for c in names]
+            for policy in fleet_of:
+                policy.listed(now, "full", 1, entries)
+        policy = chance.choice(fleet_of)
+        rpc = rpc_for("read", chance.choice(keys), now, now + 900.0)
+        if send(policy, now, rpc)[0] == "send":
             rpc.sent[0].outcome, rpc.over = "completed", True
-            sends[rpc.sent[0].cache].append(now)
+            sends.append((now, rpc.sent[0].cache))
             policy.after(now + 1.0, rpc, 0, 30.0, "hit", None)
         policy.wait(now)
-    warm = max(sum(at < 6000 for at in times) for times in sends.values()) / 6000.0
-    for times in sends.values():
-        for start in (at for at in times if at >= 6000):
-            share = 0.2 + 0.8 * (start + 3000.0 - 6000.0) / 20_000.0
-            sent = sum(start <= at < start + 3000.0 for at in times)
-            assert sent <= 3.0 * share * 3000.0 * warm + 1
+    return sends
+
+
+@pytest.mark.parametrize("proxies", [1, 2, 40])
+def test_cold_caches_stay_within_what_all_proxies_may_send(proxies: int) -> None:
+    """Where all caches are cold, weights low alike cap nothing; one RPC a proxy was too many."""
+    sends = together(proxies, 6, 0, list(range(301)))
+    warm = sum(at < 20_000 for at, _ in sends) / 20_000.0 / 6
+    for cache in {cache for _, cache in sends}:
+        times = [at for at, name in sends if name == cache and at >= 20_000]
+        for start in times:
+            most = 3.0 * (0.2 + 0.8 * (start + 3000.0 - 20_000.0) / 20_000.0) * 3000.0 * warm
+            assert sum(start <= at < start + 3000.0 for at in times) <= most + 2.0 * most ** 0.5
+
+
+def test_a_hot_keys_cold_owner_is_not_pushed_over() -> None:
+    """The fleet grew, a hot key's owner was new: each proxy sent it one RPC, all of them far too many."""
+    entries = [(f"c{i}", "z", "box", 0, "ready", None, 20_000.0 * (i == 39)) for i in range(40)]
+    sent = 0
+    for seed in range(60):
+        policy = Policy(fleet(proxies=60), seed, 0.0)
+        policy.listed(0.0, "full", 1, [(*entry[:6], 0.0) for entry in entries[:39]])
+        for now in range(seed, 20_000, 200):
+            rpc = rpc_for("read", 50 if now % 2000 < 200 else now, now, now + 900.0)
+            if send(policy, now, rpc)[0] == "send":
+                rpc.sent[0].outcome, rpc.over = "completed", True
+                policy.after(now + 30.0, rpc, 0, 30.0, "hit", None)
+            policy.wait(now)
+        policy.listed(20_500.0, "full", 2, entries)
+        policy.rankings[50] = [policy.caches[f"c{i}"] for i in (39, 1, 2)]
+        sent += send(policy, 21_000.0, rpc_for("read", 50, 21_000.0, 22_000.0))[1] == "c39"
+    assert 0 < sent < 3.0 * 0.3 * 3000.0 * 60 * 0.005 / 40
+
+
+def test_many_full_queues_do_not_send_a_read_to_the_origin() -> None:
+    """What three caches turned away went to the origin as if missed, and jammed it for all."""
+    policy = Policy(fleet(aside=True), 1, 0.0)
+    policy.listed(0.0, "full", 1, [(f"c{i}", "z", "box", 0, "ready", None, 0.0) for i in range(5)]
+                  + [("o", "z", "origin", 0, "ready", None, 0.0)])
+    rpc, verdict = rpc_for("read"), None
+    for number in range(4):
+        verdict = policy.where(number, rpc) if verdict is None else verdict
+        if verdict[0] != "send":
+            break
+        assert verdict[1] != "o"
+        rpc.sent[number].outcome = "full"
+        verdict = policy.after(number + 1.0, rpc, number, 1.0, None, None)
+    assert verdict[0] == "exhausted" and len(rpc.sent) == 3
+
+
+def test_a_limit_under_one_holds_for_the_mean() -> None:
+    """Floors of one RPC a proxy added up over hundreds of proxies, and limited nothing."""
+    limit, held, going = Limit(0.0, 300, 8), 0.0, []
+    limit.value, chance = 0.2, Random(3)
+    for now in range(0, 60_000, 10):
+        for end in [end for end in going if end <= now]:
+            going.remove(end)
+            limit.take(now, -1.0)
+        if chance.random() < 0.1 and limit.room(now, 1.0):
+            limit.take(now, 1.0)
+            going.append(now + 100)
+        held += len(going) * 10
+    assert 0.12 < held / 60_000 < 0.22
+
+
+def test_load_is_even_where_a_proxy_meets_a_cache_seldom() -> None:
+    """Few keys made most of the load, and no proxy ever had two of them in flight at their owner."""
+    policy, sends = Policy(fleet(proxies=200), 1, 0.0), []
+    policy.listed(0.0, "full", 1, [(f"c{i}", "z", "box", 0, "ready", None, 0.0) for i in range(40)])
+    for now in range(0, 60_000, 500):
+        rpc = rpc_for("read", 7 if now % 2000 == 0 else now, now, now + 900.0)
+        if send(policy, now, rpc)[0] == "send":
+            rpc.sent[0].outcome, rpc.over = "completed", True
+            policy.after(now + 50.0, rpc, 0, 50.0, "hit", None)
+            sends += [rpc.sent[0].cache] * (rpc.key == 7)
+        policy.wait(now)
+    assert len(set(sends)) == 3 and max(map(sends.count, sends)) <= 0.5 * len(sends)
+
+
+def test_an_idle_proxy_sets_no_timer() -> None:
+    """Reviews four times a second at each of hundreds of proxies had a day at full size cut off."""
+    policy = Policy(fleet(proxies=300), 1, 0.0)
+    policy.listed(0.0, "full", 1, [(f"c{i}", "z", "box", 0, "ready", None, 0.0) for i in range(80)])
+    assert policy.wait(0.0)[0] > 60_000.0
 
 
 def test_a_spill_prefers_a_neighbour_that_holds_the_key() -> None:
