--- a/calicofall/policy.py
+++ b/calicofall/policy.py
@@ -386,7 +386,8 @@
 
     def _room(self, now: float, limit: Limit, rpc: Rpc) -> bool:
         """Whether this RPC finds room: over its share first out, then by least gain."""
-        return limit.room(now, 0.75 + 0.25 * self.rank[rpc.method] if rpc.within_share else 0.5)
+        part = 0.75 + 0.25 * self.rank[rpc.method] if rpc.within_share else 0.8 if self.seldom else 0.5
+        return limit.room(now, part)
 
     # Where to send this RPC
 
@@ -404,7 +405,9 @@
             return self._give_up(rpc, method)
         if self.aside and (rpc.write or rpc.missed):
             return self._to_origin(now, rpc, method)
-        if not rpc.sent and not self._room(now, self.fleet, rpc):
+        # Guards against few RPCs looking like overload: what is in share is within capacity by the quotas.
+        free = rpc.sent or (rpc.within_share and self.seldom)
+        if not free and not self._room(now, self.fleet, rpc):
             return self._later(now, rpc, method)
         cache = self._choose(now, rpc)
         if cache is None:  # waiting would not change what was tried, or the chance taken
@@ -477,19 +480,16 @@
             self._learn(now, rpc, cache, outcome, took, note, tx.fetch)
         if rpc.over or rpc.bound:
             return None
-        if outcome == "missed":
-            rpc.missed = True
-            return self.where(now, rpc)
-        if outcome in ("full", "unconnected", "moot") or self._may_retry(now, rpc):
+        rpc.missed = rpc.missed or outcome == "missed"
+        if outcome in ("missed", "full", "unconnected", "moot") or self._may_retry(now, rpc):
             return self.where(now, rpc)
         return self._give_up(rpc, method)
 
     def _may_retry(self, now: float, rpc: Rpc) -> bool:
         # Guards against retry storms: retries are a part of what comes in, not of what fails.
-        if self.retries < 1 or rpc.until - now < (self.typical[rpc.method] or 0.0):
-            return False
-        self.retries -= 1
-        return True
+        fine = self.retries >= 1 and rpc.until - now >= (self.typical[rpc.method] or 0.0)
+        self.retries -= fine
+        return fine
 
     def _learn(self, now: float, rpc: Rpc, cache: Cache, outcome: str, took: float, note: str | None,
                fetch: float) -> None:
