--- a/calicofall/policy.py
+++ b/calicofall/policy.py
@@ -133,7 +133,7 @@
         self.fetches, self.fetch_usual = Ring(60_000.0, 24), self.soonest / 3
         self.fleet = Limit(now, self.proxies, LEAST)
         # Behind the caches it is seen through their queues; asked directly, each answer tells of it.
-        self.origin = Limit(now, self.proxies, 3 if self.aside else LEAST)
+        self.origin = Limit(now, self.proxies, 2 if self.aside else LEAST)
         self.most_retries = max(1.0, 30.0 / self.proxies)
         self.retries = self.most_retries * self.chance.random()
         # Sent to caches, lately and over a minute; completed by warm caches
