Connections used seldom are closed after use, where open ones cost

A connection is closed when holding it for the mean gap costs more than a new one, by the settings' costs and what was sent.

--- a/calicofall/benchlink/host.py
+++ b/calicofall/benchlink/host.py
@@ -113,6 +113,8 @@
                 self.put("Print", *values)
             elif errand == "follow":
                 self.put("Watch", True)
+            elif errand == "close":
+                self.put("LetGo", *values)
             elif errand == "list":
                 self.put("GetList")
             elif errand == "probe":
--- a/calicofall/policy.py
+++ b/calicofall/policy.py
@@ -30,7 +30,6 @@
 PURSE = 3.0  # RPCs that a tenant may have unused, beside a second of its quota: few come at one proxy
 LEAST = 8  # answers that make a measure: a few heavy RPCs are no jam
 DOUBLES = 5_000.0  # what a set-aside cache gets doubles in this time while nothing speaks against it
-Verdict = tuple
 
 
 def point(name: bytes) -> int:
@@ -112,7 +111,8 @@
         self.soonest = min((m["soft_deadline"] for m in self.methods.values()), default=500.0)
         self.proxies = max(1, deployment.get("proxies") or 1)
         self.most = self.caps.get("most_transmissions") or 3
-        data = deployment.get("data") or {}
+        data, costs = deployment.get("data") or {}, deployment.get("costs") or {}
+        self.dear = (costs.get("connection") or 0.0) / (costs.get("handshake") or inf)  # open, to a new one
         self.aside = data.get("mode") == "aside"
         kinds = dict(enumerate(deployment.get("kinds") or []))
         self.origin_kind = kinds.get(data.get("origin_kind", -1)) if self.aside else None
@@ -123,10 +123,8 @@
         self.total = self.warm = 0.0  # sums of the present weights, and of those of warm caches
         self.rankings: dict[int, list[Cache]] = {}
         self.errands: list[tuple] = []
-        # Following the list
         self.asks = deployment.get("discovery") == "ask"
         self.ask_at, self.ask_gap = now if self.asks else inf, 250.0
-        # Measures
         self.born = now
         self.usual = {name: Ring(60_000.0, 24) for name in self.methods}  # completed answer times
         self.typical: dict[str, float | None] = dict.fromkeys(self.methods)
@@ -156,8 +154,6 @@
         self.rank = {name: gain / top for name, gain in gains.items()}
         self.review_at, self.measure_at, self.fade_at, self.overloaded = now, now, inf, False
 
-    # News
-
     def listed(self, now: float, kind: str, version: int | None, entries: list[tuple]) -> None:
         if kind == "failed":
             if self.ask_gap == 250.0:
@@ -246,8 +242,6 @@
         if now >= self.turn_at:
             self.holders, self.turn_at = [set(), self.holders[0]], now + HOLDS
 
-    # Sick caches
-
     def _set_aside(self, now: float, cache: Cache, part: float, why: str) -> None:
         """It gets a part of what it owns, which doubles with time and with each good answer."""
         cache.part, cache.part_at = part, now
@@ -391,7 +385,7 @@
 
     # Where to send this RPC
 
-    def where(self, now: float, rpc: Rpc) -> Verdict | None:
+    def where(self, now: float, rpc: Rpc) -> tuple | None:
         if rpc.over or rpc.bound:
             return None
         method = self.methods[rpc.method]
@@ -422,7 +416,7 @@
     def _holds(self, cache: Cache, key: int | None) -> bool:
         return (key, cache.name) in self.holders[0] or (key, cache.name) in self.holders[1]
 
-    def _send(self, now: float, rpc: Rpc, cache: Cache, fetch: float) -> Verdict:
+    def _send(self, now: float, rpc: Rpc, cache: Cache, fetch: float) -> tuple:
         if not cache.held:
             cache.heard = now
         cache.held += 1
@@ -435,7 +429,7 @@
         rpc.sent.append(Transmission(cache.name, now, fetch))
         return "send", cache.name, rpc.until - now
 
-    def _to_origin(self, now: float, rpc: Rpc, method: dict) -> Verdict:
+    def _to_origin(self, now: float, rpc: Rpc, method: dict) -> tuple:
         origin = next((o for o in self.origins.values() if o.ready), None)
         room = origin is not None and self._room(now, self.origin, rpc)
         return self._send(now, rpc, origin, 1.0) if room else self._later(now, rpc, method)
@@ -449,14 +443,14 @@
         return first is None or method["repeats"] == "retriable" or \
             (deduped and now < first.at + method["window"])
 
-    def _later(self, now: float, rpc: Rpc, method: dict) -> Verdict:
+    def _later(self, now: float, rpc: Rpc, method: dict) -> tuple:
         """Not yet, while an answer within the soft deadline is likely; else never."""
         patience = (0.5 if rpc.sent else 0.25) * method["soft_deadline"] if rpc.within_share else 0.0
         if now - rpc.arrived < patience and rpc.until - now > 20.0:
             return "wait", 15.0
         return self._give_up(rpc, method)
 
-    def _give_up(self, rpc: Rpc, method: dict) -> Verdict:
+    def _give_up(self, rpc: Rpc, method: dict) -> tuple:
         """Exhausted where a repeat is harmless, errored where it might not be."""
         repeats = method["repeats"]
         if repeats == "retriable" or rpc.first_run() is None or \
@@ -468,7 +462,7 @@
     # What to do after this outcome
 
     def after(self, now: float, rpc: Rpc, number: int, took: float, note: str | None,
-              report: object) -> Verdict | None:
+              report: object) -> tuple | None:
         tx = rpc.sent[number]
         outcome, method = tx.outcome, self.methods[rpc.method]
         cache = self.caches.get(tx.cache)
@@ -478,6 +472,10 @@
         else:
             cache.held, cache.heard = cache.held - 1, now
             self._learn(now, rpc, cache, outcome, took, note, tx.fetch)
+            # Guards against hundreds of proxies each keeping a connection until it goes idle, used once.
+            cost = self.sent.count(now) * self.proxies * self.dear
+            if not cache.held and cost > 100.0 * len(self.usable) * cache.sent.count(now):
+                self.errands.append(("close", cache.name))
         if rpc.over or rpc.bound:
             return None
         rpc.missed = rpc.missed or outcome == "missed"
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -179,6 +179,20 @@
     assert len(set(sends)) == 3 and max(map(sends.count, sends)) <= 0.5 * len(sends)
 
 
+@pytest.mark.parametrize("proxies", [3, 300])
+def test_a_connection_used_seldom_is_closed(proxies: int) -> None:
+    """Hundreds of proxies kept a connection to each cache open that they used once a minute."""
+    policy, closed = Policy(fleet(proxies=proxies, costs={"connection": 0.04, "handshake": 0.04}), 1, 0.0), 0
+    policy.listed(0.0, "full", 1, [(f"c{i}", "z", "box", 0, "ready", None, 0.0) for i in range(60)])
+    for now in range(0, 30_000, 500):
+        rpc = rpc_for("read", now, now, now + 900.0)
+        send(policy, now, rpc)
+        rpc.sent[0].outcome, rpc.over = "completed", True
+        policy.after(now + 50.0, rpc, 0, 50.0, "hit", None)
+        closed += sum(errand[0] == "close" for errand in policy.wait(now)[1])
+    assert (closed > 20) == (proxies == 300)
+
+
 def test_an_idle_proxy_sets_no_timer() -> None:
     """Reviews four times a second at each of hundreds of proxies had a day at full size cut off."""
     policy = Policy(fleet(proxies=300), 1, 0.0)
