--- a/calicofall/policy.py
+++ b/calicofall/policy.py
@@ -27,7 +27,7 @@
 SPAN = 2000.0  # a limit holds for the mean over this time
 SPILL = 2  # RPCs of this proxy in hand at an owner from which it spills: the design's floor
 REVIEW = 250.0  # between two looks at the measures, while anything happens
-PURSE = 20.0  # RPCs unused by a tenant, beside a second of its quota: as many as proxies, 3 to this
+PURSE = 3.0, 20.0  # RPCs unused by a tenant, beside a second of its quota: for few proxies, for many
 LEAST = 8  # answers that make a measure: a few heavy RPCs are no jam
 DOUBLES = 5_000.0  # what a set-aside cache gets doubles in this time while nothing speaks against it
 
@@ -143,7 +143,7 @@
         self.asked_for: list[dict[int, int]] = [{}, {}]  # how often a key was asked for; newer, older
         quotas = {t["name"]: t.get("quota") or 0.0 for t in deployment.get("tenants") or []}
         self.quota = {name: quota / 1000.0 / self.proxies for name, quota in quotas.items()}
-        self.purse = {name: [min(PURSE, self.proxies) * self.chance.random(), now] for name in self.quota}
+        self.purse = {name: [PURSE[self.proxies > SELDOM] * self.chance.random(), now] for name in self.quota}
         self.asked = {name: Ring(16_000.0, 8) for name in self.quota}
         self.paces: dict[str, Ring] = {}  # by kind of machine: one proxy meets a cache too seldom
         self.seldom = self.proxies > SELDOM
@@ -371,8 +371,8 @@
         if not rpc.repeat:  # guards against clients' repeats making every tenant look over its share
             self.asked[rpc.tenant].add(now)
         purse = self.purse[rpc.tenant]
-        rate = quota * self.scale
-        purse[:] = min(rate * 1000.0 + max(3.0, min(PURSE, self.proxies)), purse[0] + rate * (now - purse[1])), now
+        rate, most = quota * self.scale, PURSE[self.proxies > SELDOM]
+        purse[:] = min(rate * 1000.0 + most, purse[0] + rate * (now - purse[1])), now
         if purse[0] >= 1.0:
             purse[0] -= 1.0
             return True
