--- a/calicofall/policy.py
+++ b/calicofall/policy.py
@@ -511,7 +511,7 @@
                 self._paced(now, cache, pace)
             if rpc.write:
                 self._void(rpc.key)
-            else:
+            elif rpc.key is not None:
                 self.holders[0].add((rpc.key, cache.name))
         elif outcome == "full":
             self.fleet.present.add(now, 5.0)
