--- a/calicofall/__init__.py
+++ b/calicofall/__init__.py
@@ -1,1 +1,3 @@
-"""calicofall: a router for fleets of cache servers."""
+"""A router for fleets of cache servers."""
+
+__version__ = "0.2.0"
--- /dev/null
+++ b/calicofall/__main__.py
@@ -0,0 +1,100 @@
+"""The command line: serve, check a configuration, version.
+
+Owns how a start's configuration is found and read. Must never start a proxy on one that is wrong: that is one
+line and a non-zero exit.
+"""
+
+import asyncio
+import os
+import sys
+from typing import Any
+
+import click
+import orjson
+
+from calicofall import __version__, words
+
+TOLD = ("PROXY_NAME", "PROXY_LISTEN", "PROXY_DISCOVERY", "PROXY_CONFIG")
+
+
+def configuration(path: str | None) -> dict[str, Any]:
+    """What PROXY_CONFIG's file says, with PROXY_NAME, PROXY_LISTEN and PROXY_DISCOVERY before it."""
+    path = path or os.environ.get("PROXY_CONFIG")
+    if not path:
+        raise click.ClickException("PROXY_CONFIG is missing: the configuration's path")
+    try:
+        with open(path, "rb") as file:
+            node = orjson.loads(file.read())
+        if not isinstance(node, dict):
+            raise ValueError("not an object")
+        node |= {name[6:].lower(): os.environ[name] for name in TOLD[:3] if os.environ.get(name)}
+        for name in ("name", "listen", "discovery", "seed", "settings"):
+            if not node.get(name):
+                raise ValueError(f"{name} is missing")
+        words.place(node["listen"])
+        words.place(node["discovery"])
+        words.seed(node["seed"])
+        if node.get("known"):
+            words.listing(node["known"])
+        deployment = words.deployment(node["settings"])
+        for method in deployment["methods"]:
+            for part in ("name", "repeats", "window", "soft_deadline", "hard_deadline"):
+                method[part]
+        deployment["rules"], deployment["caps"]
+    except OSError as reason:
+        raise click.ClickException(f"{path}: {reason.strerror}") from None
+    except (ValueError, TypeError, KeyError, AttributeError) as reason:
+        told = f"{reason.args[0]} is missing" if isinstance(reason, KeyError) else str(reason)
+        raise click.ClickException(f"{path}: {told}") from None
+    return node
+
+
+@click.group(invoke_without_command=True, context_settings={"help_option_names": ["-h", "--help"]})
+@click.pass_context
+def main(context: click.Context) -> None:
+    """A router for fleets of cache servers. Without a command it serves."""
+    if context.invoked_subcommand is None:
+        context.invoke(serve)
+
+
+where = click.option("--config", type=click.Path(dir_okay=False), help="Instead of $PROXY_CONFIG.")
+
+
+@main.command()
+@where
+@click.option("--log-level", type=click.Choice(["DEBUG", "INFO", "WARNING", "ERROR"]), default="INFO")
+def serve(config: str | None = None, log_level: str = "INFO") -> None:
+    """Run one proxy until SIGTERM."""
+    node = configuration(config)
+    from calicofall.net import logs
+    from calicofall.net.proxy import Proxy
+
+    logs.start(log_level)
+
+    async def run() -> None:
+        await Proxy(node, asyncio.get_running_loop()).serve()
+
+    try:
+        asyncio.run(run())
+    except OSError as reason:
+        raise click.ClickException(f"{node['listen']}: {reason}") from None
+
+
+@main.command()
+@where
+def check(config: str | None) -> None:
+    """Read a configuration and say what is wrong with it."""
+    node = configuration(config)
+    methods = [method["name"] for method in node["settings"]["methods"]]
+    known = (node.get("known") or {}).get("endpoints") or []
+    click.echo(f"{node['name']}: {len(methods)} methods, {len(known)} caches known")
+
+
+@main.command()
+def version() -> None:
+    """Say which version this is."""
+    click.echo(__version__)
+
+
+if __name__ == "__main__":
+    sys.exit(main(prog_name="calicofall"))
--- /dev/null
+++ b/calicofall/facade.py
@@ -0,0 +1,88 @@
+"""The decision module as a small blocking library: pick, report, tick.
+
+Owns the RPCs in hand, the waits, and what is known of clients that left. Must never decide anything, know a
+socket, or let a caller see the module's verdicts: a call returns the cache that an RPC goes to now, or None.
+An RPC that has had its final answer carries it in `rpc.answer`; one with neither is held.
+"""
+
+from heapq import heappop, heappush
+
+from calicofall.policy import Policy
+from calicofall.rpc import Rpc
+
+SLACK = 0.01  # ms; a wait that ends within it has ended
+
+
+class Router:
+    def __init__(self, deployment: dict, seed: int, now: float) -> None:
+        self.policy = Policy(deployment, seed, now)
+        self.listed, self.probed = self.policy.listed, self.policy.probed
+        self.hand: dict[str, Rpc] = {}
+        self.waits: list[tuple[float, int, Rpc]] = []
+        self.count = 0
+        self.lines: list[str] = []  # what the module has to say, for the log
+        self.chores: list[tuple] = []  # ("close", cache), ("follow",) and the like, for the caller
+
+    def pick(self, now: float, rpc: Rpc) -> str | None:
+        """Takes an RPC in hand: the cache to send it to now."""
+        self.hand[rpc.id] = rpc
+        return self._carry(now, rpc, self.policy.where(now, rpc))
+
+    def report(self, now: float, rpc: Rpc, number: int, outcome: str, took: float, note: str | None = None,
+               load: object = None, over: bool = False) -> str | None:
+        """What became of a transmission: the cache to send the RPC to next."""
+        rpc.sent[number].outcome = outcome
+        if outcome == "completed" and not rpc.over:
+            rpc.answer = "completed"
+        rpc.over = rpc.over or over or outcome == "completed"
+        verdict = self.policy.after(now, rpc, number, took, note, load)
+        cache = None if rpc.over else self._carry(now, rpc, verdict)
+        self._drop(rpc)
+        return cache
+
+    def left(self, now: float, rpc: Rpc) -> list[int]:
+        """The client has left: the numbers of the transmissions to call off."""
+        if rpc.over:
+            return []
+        rpc.over = True
+        off = self.policy.left(now, rpc)
+        self._drop(rpc)
+        return off
+
+    def woken(self, now: float) -> tuple[Rpc, str | None] | None:
+        """The first RPC whose wait has ended, and the cache it goes to now."""
+        while self.waits and self.waits[0][0] <= now + SLACK:
+            rpc = heappop(self.waits)[2]
+            if not rpc.over:
+                return rpc, self._carry(now, rpc, self.policy.where(now, rpc))
+        return None
+
+    def tick(self, now: float) -> float:
+        """After what happened at one time: gathers lines and chores; ms until the next tick."""
+        wait, errands = self.policy.wait(now)
+        for errand in errands:
+            if errand[0] == "log":
+                self.lines.append(errand[1])
+            else:
+                self.chores.append(errand)
+        return max(1.0, min(wait, self.waits[0][0] - now)) if self.waits else wait
+
+    def _carry(self, now: float, rpc: Rpc, verdict: tuple | None) -> str | None:
+        if verdict is None:
+            return None
+        what = verdict[0]
+        if what == "send":
+            rpc.time_out = verdict[2]
+            return verdict[1]
+        if what == "wait":
+            self.count += 1
+            heappush(self.waits, (now + verdict[1], self.count, rpc))
+            return None
+        rpc.over, rpc.answer = True, what
+        rpc.come_back = verdict[1] if what == "exhausted" else 0.0
+        self._drop(rpc)
+        return None
+
+    def _drop(self, rpc: Rpc) -> None:
+        if rpc.over and all(tx.outcome for tx in rpc.sent):
+            self.hand.pop(rpc.id, None)
--- /dev/null
+++ b/calicofall/holds.py
@@ -0,0 +1,14 @@
+"""What must hold: asserted in debug builds, counted in release builds (python -O).
+
+Owns the counts, by what did not hold. Must never change what the program does.
+"""
+
+from collections import Counter
+
+broken: Counter[str] = Counter()
+
+
+def holds(fact: bool, what: str) -> None:
+    assert fact, what
+    if not fact:
+        broken[what] += 1
--- /dev/null
+++ b/calicofall/net/__init__.py
@@ -0,0 +1,1 @@
+"""The proxy on sockets, round the decision module."""
--- /dev/null
+++ b/calicofall/net/buffer.py
@@ -0,0 +1,92 @@
+"""A ring buffer: the bytes of one direction of one connection.
+
+Owns its memory, which doubles up to a bound and is given back once empty. Must never hand out a view that it
+later moves, or hold more than its bound.
+"""
+
+LEAST, MOST = 4096, 1 << 18
+
+
+class RingBuffer:
+    __slots__ = ("memory", "view", "start", "length", "most")
+
+    def __init__(self, most: int = MOST) -> None:
+        self.most = most
+        self._fresh(LEAST)
+
+    def _fresh(self, size: int) -> None:
+        self.memory = bytearray(size)
+        self.view, self.start, self.length = memoryview(self.memory), 0, 0
+
+    def __len__(self) -> int:
+        return self.length
+
+    def _grow(self, least: int) -> None:
+        size = len(self.memory)
+        while size < least:
+            size *= 2
+        if size > self.most:
+            raise BufferError("ring buffer over its bound")
+        held = self.peek(self.length)
+        self._fresh(size)
+        self.view[:len(held)] = held
+        self.length = len(held)
+
+    def free(self) -> memoryview:
+        """Where the next bytes go, never empty; then filled()."""
+        size = len(self.memory)
+        if self.length == size:
+            self._grow(size + 1)
+            size = len(self.memory)
+        if not self.length:
+            self.start = 0
+        end = (self.start + self.length) % size
+        return self.view[end:self.start if end < self.start else size]
+
+    def filled(self, count: int) -> None:
+        self.length += count
+
+    def write(self, data: bytes) -> None:
+        if self.length + len(data) > len(self.memory):
+            self._grow(self.length + len(data))
+        done = 0
+        while done < len(data):
+            room = self.free()
+            part = min(len(room), len(data) - done)
+            room[:part] = data[done:done + part]
+            self.length += part
+            done += part
+
+    def peek(self, count: int, skip: int = 0) -> bytes:
+        """A copy of the next bytes, which stay."""
+        count = min(count, self.length - skip)
+        size, begin = len(self.memory), (self.start + skip) % len(self.memory)
+        if begin + count <= size:
+            return bytes(self.view[begin:begin + count])
+        return bytes(self.view[begin:]) + bytes(self.view[:begin + count - size])
+
+    def drop(self, count: int) -> None:
+        self.start = (self.start + count) % len(self.memory)
+        self.length -= count
+        if not self.length and len(self.memory) > LEAST:
+            self._fresh(LEAST)
+
+    def take(self, count: int) -> bytes:
+        data = self.peek(count)
+        self.drop(len(data))
+        return data
+
+    def find(self, byte: int, skip: int = 0) -> int:
+        """How far off a byte is, from `skip` on; -1 if it has not come."""
+        size, end = len(self.memory), self.start + self.length
+        begin = self.start + skip
+        if begin < size:
+            at = self.memory.find(byte, begin, min(end, size))
+            if at >= 0:
+                return at - self.start
+            begin = size
+        if end > size:
+            at = self.memory.find(byte, begin - size, end - size)
+            if at >= 0:
+                return at + size - self.start
+        return -1
--- /dev/null
+++ b/calicofall/net/caches.py
@@ -0,0 +1,255 @@
+"""Connections to the caches: transmissions out, outcomes back.
+
+Owns the addresses by name, the pools of connections and each transmission's time-out. Must never choose a
+cache, send anything twice, match a late reply to another transmission, or say that one has not run unless
+that is proven: the cache turned it away, or the connection failed or broke before its last byte left.
+"""
+
+import asyncio
+import logging
+import socket
+from collections import deque
+from collections.abc import Callable
+from typing import Any
+
+from calicofall import words
+from calicofall.holds import holds
+from calicofall.net import resp
+from calicofall.net.stream import Stream
+
+EARLIER = 0.9  # of the time after which a cache closes an idle connection, when ours is retired
+log = logging.getLogger("calicofall")
+
+
+class Sending:
+    """One transmission on its way."""
+
+    __slots__ = ("owner", "number", "data", "at", "end", "line", "timer", "over")
+
+    def __init__(self, owner: Any, number: int, data: bytes, at: float) -> None:
+        self.owner, self.number, self.data, self.at = owner, number, data, at
+        self.end = 0  # where its last byte stands among all that its connection wrote
+        self.line: Line | None = None
+        self.timer: asyncio.TimerHandle | None = None
+        self.over = False
+
+
+class Line(Stream):
+    """A connection to a cache, with the transmissions that wait for an answer in their order."""
+
+    def __init__(self, pool: "Pool") -> None:
+        super().__init__()
+        self.pool = pool
+        self.parser = resp.Parser(self.inward)
+        self.queue: deque[Sending] = deque()
+        self.up = False
+        self.idle_since = 0.0
+
+    def opened(self) -> None:
+        self.up = True
+        for sending in self.queue:
+            self._put(sending)
+        if not self.queue:
+            self.rest()
+
+    def send(self, sending: Sending) -> None:
+        sending.line = self
+        self.queue.append(sending)
+        if self.up:
+            self._put(sending)
+
+    def _put(self, sending: Sending) -> None:
+        sending.end = self.written + len(sending.data)
+        self.write(sending.data)
+        sending.data = b""
+
+    def came(self) -> None:
+        while not self.closed:
+            try:
+                value = self.parser.next()
+            except resp.Broken as reason:
+                log.warning("broken reply", extra={"cache": self.pool.name, "reason": str(reason)})
+                self.cut()
+                return
+            if value is resp.COMING:
+                return
+            if not self.queue:
+                self.cut()  # an answer that nothing asked for
+                return
+            sending = self.queue.popleft()
+            outcome, answer, note, load = read(value)
+            if outcome == "broken":
+                log.warning("broken reply", extra={"cache": self.pool.name, "reason": repr(value)[:80]})
+                self.queue.appendleft(sending)
+                self.cut()
+                return
+            if not self.queue:
+                self.rest()
+            # What is over by now was given up: its reply is read past, and matched to nothing.
+            self.pool.caches.done(sending, outcome, answer, note, load)
+
+    def rest(self) -> None:
+        if self.pool.wanted:
+            self.idle_since = self.pool.caches.loop.time()
+        else:
+            self.cut()
+
+    def proven(self, sending: Sending) -> bool:
+        """Whether its last byte has not left: it has not run."""
+        return not self.up or sending.end > self.handed
+
+    def lost(self) -> None:
+        self.pool.lines.discard(self)
+        queue, self.queue = self.queue, deque()
+        for sending in queue:
+            self.pool.caches.done(sending, "unconnected" if self.proven(sending) else "reset")
+
+
+def read(value: resp.Value) -> tuple[str, bytes, str | None, dict | None]:
+    """A cache's reply: outcome, answer, note, load report."""
+    if isinstance(value, resp.Fault):
+        return ("full" if value.split(b" ")[0] == b"BUSY" else "error"), b"", None, None
+    if isinstance(value, list) and len(value) == 3 and isinstance(value[0], bytes):
+        note = words.NOTES.get(value[1]) if isinstance(value[1], bytes) else None
+        return "completed", value[0], note, words.report(value[2])
+    return "broken", b"", None, None
+
+
+class Pool:
+    """The connections to one cache."""
+
+    def __init__(self, caches: "Caches", name: str) -> None:
+        self.caches, self.name = caches, name
+        self.address: tuple[str, int] | None = None
+        self.lines: set[Line] = set()
+        self.wanted = True  # neither draining nor gone
+
+    def line(self) -> Line | None:
+        """The connection for the next transmission: one that rests, a new one, or the least busy."""
+        resting = [line for line in self.lines if line.up and not line.queue and not line.closing]
+        if resting:
+            return max(resting, key=lambda line: line.idle_since)
+        if len(self.lines) < self.caches.each and self.caches.count() < self.caches.most:
+            return self._open()
+        usable = [line for line in self.lines if len(line.queue) < self.caches.streams and not line.closing]
+        return min(usable, key=lambda line: len(line.queue), default=None)
+
+    def _open(self) -> Line:
+        line = Line(self)
+        self.lines.add(line)
+        task = self.caches.loop.create_task(self.caches.connect(line, self.address))
+        self.caches.tasks.add(task)
+        task.add_done_callback(self.caches.tasks.discard)
+        return line
+
+    def release(self) -> None:
+        """Close what rests; what is still to be written is not sent."""
+        for line in list(self.lines):
+            if not line.queue or not line.up:
+                line.cut()
+
+
+class Caches:
+    def __init__(self, loop: asyncio.AbstractEventLoop, caps: dict, most: int, outcome: Callable) -> None:
+        self.loop, self.most, self.outcome = loop, max(1, most), outcome
+        self.streams = max(1, int(caps.get("streams_per_conn") or 1))
+        self.dial = (caps.get("dial_timeout") or 1000.0) / 1000.0
+        self.keep = (caps.get("conn_idle") or 30_000.0) / 1000.0 * EARLIER
+        self.pools: dict[str, Pool] = {}
+        self.tasks: set[asyncio.Task] = set()
+        self.each = self.most
+
+    def count(self) -> int:
+        return sum(len(pool.lines) for pool in self.pools.values())
+
+    def listed(self, kind: str, entries: list[tuple], addresses: dict[str, str]) -> None:
+        """The list as the module has it, too: where each cache is, and whether it is wanted."""
+        if kind != "delta":
+            for pool in self.pools.values():
+                pool.wanted = False
+        for name, _, _, _, state, _, _ in entries:
+            pool = self.pools.get(name) or self.pools.setdefault(name, Pool(self, name))
+            pool.wanted = state == "ready"
+            try:
+                address = words.place(addresses[name])
+            except (KeyError, ValueError):
+                address = pool.address
+            if address != pool.address:  # guards against an address that changes under one name
+                pool.release()
+                pool.address = address
+        for name, pool in list(self.pools.items()):
+            if not pool.wanted:
+                pool.release()
+                if not pool.lines:
+                    del self.pools[name]
+        self.each = max(1, min(32, self.most // max(1, len(self.pools))))
+
+    def send(self, name: str, owner: Any, number: int, data: bytes, now: float, time_out: float) -> Sending:
+        sending = Sending(owner, number, data, now)
+        sending.timer = self.loop.call_later(max(0.0, time_out) / 1000.0, self.give_up, sending, "timeout")
+        pool = self.pools.get(name)
+        line = pool.line() if pool is not None and pool.wanted and pool.address is not None else None
+        if line is None:
+            self.loop.call_soon(self.done, sending, "unconnected")
+        else:
+            line.send(sending)
+        return sending
+
+    async def connect(self, line: Line, address: tuple[str, int]) -> None:
+        plug = None
+        try:
+            plug = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+            plug.setblocking(False)
+            async with asyncio.timeout(self.dial):
+                await self.loop.sock_connect(plug, address)
+            if line.closed:
+                plug.close()
+                return
+            await self.loop.create_connection(lambda: line, sock=plug)
+        except (OSError, TimeoutError, ValueError):  # refused, silent, or no descriptor left
+            if plug is not None:
+                plug.close()
+            line.cut()
+
+    def give_up(self, sending: Sending, outcome: str) -> None:
+        """Stop waiting: the connection is closed, unless others wait on it."""
+        if sending.over:
+            return
+        line = sending.line
+        if line is not None and not line.closed:
+            if not line.up:
+                line.queue.remove(sending)  # it was never written
+                outcome = "unconnected" if outcome == "cancelled" else outcome
+            elif all(other.over or other is sending for other in line.queue):
+                sending.over = True  # so that the cut does not report it as reset
+                line.cut()
+                sending.over = False
+        self.done(sending, outcome)
+
+    def done(self, sending: Sending, outcome: str, answer: bytes = b"", note: str | None = None,
+             load: dict | None = None) -> None:
+        if sending.over:
+            return
+        sending.over = True
+        sending.timer.cancel()
+        holds(outcome in ("completed", "error", "full", "unconnected", "reset", "timeout", "cancelled"),
+              "an outcome that the module knows")
+        self.outcome(sending, outcome, answer, note, load)
+
+    def retire(self) -> None:
+        """Close connections before the caches do: what is written to a closed one may have run."""
+        oldest = self.loop.time() - self.keep
+        for pool in self.pools.values():
+            for line in [line for line in pool.lines if line.up and not line.queue]:
+                if line.idle_since < oldest:
+                    line.cut()
+
+    def close_idle(self, name: str) -> None:
+        for line in [line for line in self.pools[name].lines if line.up and not line.queue] \
+                if name in self.pools else []:
+            line.cut()
+
+    def close(self) -> None:
+        for pool in self.pools.values():
+            for line in list(pool.lines):
+                line.cut()
--- /dev/null
+++ b/calicofall/net/clients.py
@@ -0,0 +1,152 @@
+"""Clients' connections: commands in, answers out, in the order of the commands.
+
+Owns each connection's answers that are still owed. Must never answer an RPC twice, keep an answer that a
+client does not read, or speak to a cache: what an RPC becomes is the proxy's to say.
+"""
+
+import asyncio
+from collections import OrderedDict, deque
+from collections.abc import Callable
+
+from calicofall.net import resp
+from calicofall.net.stream import Stream
+from calicofall.words import ARGUMENTS
+
+PIPELINED = 16  # commands read ahead of their answers
+
+
+class Turn:
+    """An answer's place in its connection's order."""
+
+    __slots__ = ("client", "answer", "rpc", "out")
+
+    def __init__(self, client: "Client") -> None:
+        self.client, self.answer, self.rpc, self.out = client, None, None, None
+
+    def give(self, answer: bytes) -> None:
+        self.answer = answer
+        self.client.pass_on()
+
+
+class Client(Stream):
+    def __init__(self, clients: "Clients") -> None:
+        super().__init__()
+        self.clients = clients
+        self.parser = resp.Parser(self.inward)
+        self.turns: deque[Turn] = deque()
+        self.held = self.deaf = False  # reading is paused; framing is lost
+        self.patience: asyncio.TimerHandle | None = None
+
+    def opened(self) -> None:
+        self.clients.admit(self)
+
+    def came(self) -> None:
+        while not (self.deaf or self.closing or self.closed):
+            if len(self.turns) >= PIPELINED or self.stuck:
+                break
+            try:
+                command = self.parser.next()
+            except resp.Broken as reason:
+                self.deaf = True
+                Turn.give(self._turn(), resp.fault(f"ERR {reason}"))
+                break
+            if command is resp.COMING:
+                break
+            self._take(command)
+        hold = not (self.closed or self.closing) and (self.deaf or len(self.turns) >= PIPELINED or self.stuck)
+        if hold != self.held and not self.closed and not self.closing:
+            self.held = hold
+            self.transport.pause_reading() if hold else self.transport.resume_reading()
+
+    def _turn(self) -> Turn:
+        turn = Turn(self)
+        self.turns.append(turn)
+        self.clients.busy(self)
+        return turn
+
+    def _take(self, command: object) -> None:
+        turn = self._turn()
+        if not isinstance(command, list) or not command or \
+                not all(type(part) is bytes for part in command):
+            turn.give(resp.fault("ERR a command is an array of bulk strings"))
+            return
+        name = command[0].upper()
+        if name in ARGUMENTS:
+            self.clients.ask(turn, [name, *command[1:]])
+        elif name == b"PING" and len(command) <= 2:
+            turn.give(resp.bulk(command[1]) if len(command) == 2 else resp.word("PONG"))
+        elif name == b"PING":
+            turn.give(resp.fault("ERR wrong number of arguments"))
+        elif name == b"QUIT":
+            self.deaf = True
+            turn.give(resp.word("OK"))
+        else:
+            turn.give(resp.fault("ERR unknown command"))
+
+    def pass_on(self) -> None:
+        """Answers whose turn has come go out."""
+        while self.turns and self.turns[0].answer is not None and not self.stuck:
+            self.write(self.turns.popleft().answer)
+        if not self.turns and not self.closed:
+            if self.deaf or self.clients.leaving:
+                self.close()
+            else:
+                self.clients.idle(self)
+        if self.held and not self.deaf:
+            asyncio.get_running_loop().call_soon(self.came)
+
+    def pause_writing(self) -> None:
+        super().pause_writing()
+        # Guards against clients that do not read: the answer has failed, and the cut tells so.
+        self.patience = asyncio.get_running_loop().call_later(self.clients.stall, self.cut)
+
+    def resume_writing(self) -> None:
+        if self.patience is not None:
+            self.patience.cancel()
+            self.patience = None
+        super().resume_writing()
+        self.pass_on()
+
+    def lost(self) -> None:
+        if self.patience is not None:
+            self.patience.cancel()
+        self.clients.gone(self)
+        for turn in self.turns:
+            if turn.answer is None:
+                self.clients.leave(turn)
+        self.turns.clear()
+
+
+class Clients:
+    """All connections of clients, the longest idle first."""
+
+    def __init__(self, most: int, stall: float, ask: Callable, leave: Callable) -> None:
+        self.most, self.stall, self.ask, self.leave = max(1, most), stall, ask, leave
+        self.open: set[Client] = set()
+        self.resting: OrderedDict[Client, None] = OrderedDict()
+        self.leaving = False
+
+    def admit(self, client: Client) -> None:
+        self.open.add(client)
+        if len(self.open) > self.most:
+            # Guards against running out of descriptors: one between RPCs may go, else the new one.
+            next(iter(self.resting), client).cut()
+        if not client.closed:
+            self.resting[client] = None
+
+    def busy(self, client: Client) -> None:
+        self.resting.pop(client, None)
+
+    def idle(self, client: Client) -> None:
+        self.resting[client] = None
+        self.resting.move_to_end(client)
+
+    def gone(self, client: Client) -> None:
+        self.open.discard(client)
+        self.resting.pop(client, None)
+
+    def part(self) -> None:
+        """Close each connection as soon as it owes no answer."""
+        self.leaving = True
+        for client in list(self.resting):
+            client.close()
--- /dev/null
+++ b/calicofall/net/proxy.py
@@ -0,0 +1,243 @@
+"""The proxy: joins clients, the module's facade, caches and discovery, on one core and one event loop.
+
+Owns the clock, the life of each RPC from command to answer, and the way out on SIGTERM. Must never decide
+where an RPC goes or what becomes of it, answer one twice, or leave one that was taken without an answer.
+"""
+
+import asyncio
+import gc
+import logging
+import signal
+import time
+from itertools import count
+from random import Random
+from typing import Any
+
+from hdrh.histogram import HdrHistogram
+
+from calicofall import words
+from calicofall.facade import Router
+from calicofall.holds import broken, holds
+from calicofall.net import resp
+from calicofall.net.caches import Caches, Sending
+from calicofall.net.clients import Client, Clients, Turn
+from calicofall.net.discovery import Discovery
+from calicofall.rpc import Rpc
+
+SPARE = 48  # descriptors that are neither clients' nor caches'
+LINGER = 0.5  # s after SIGTERM in which new connections still come
+log = logging.getLogger("calicofall")
+
+
+class Call:
+    """An RPC and the turn in which its answer is owed."""
+
+    __slots__ = ("rpc", "turn", "parts", "sending")
+
+    def __init__(self, rpc: Rpc, turn: Turn | None, parts: list[bytes]) -> None:
+        self.rpc, self.turn, self.parts = rpc, turn, parts
+        self.sending: Sending | None = None
+
+
+class Proxy:
+    def __init__(self, node: dict, loop: asyncio.AbstractEventLoop) -> None:
+        self.node, self.loop = node, loop
+        self.offset = time.time() * 1000.0 - loop.time() * 1000.0  # one clock for lists and timers
+        deployment = words.deployment(node["settings"])
+        self.methods = {method["name"]: method for method in deployment["methods"]}
+        self.tenants = {tenant["name"] for tenant in deployment.get("tenants") or []}
+        self.asks = deployment.get("discovery") == "ask"
+        seed = words.seed(node["seed"])
+        self.router = Router(deployment, seed, self.now())
+        sockets = int((node.get("limits") or {}).get("sockets") or 1024)
+        self.patience = max([m["hard_deadline"] for m in self.methods.values()], default=3000.0) / 1000.0
+        self.caches = Caches(loop, deployment["caps"], int((sockets - SPARE) * 0.4), self.outcome)
+        self.clients = Clients(int((sockets - SPARE) * 0.6), self.patience, self.ask, self.leave)
+        known = node.get("known") or {}
+        # A chance of its own: the module's is for its decisions alone.
+        self.discovery = Discovery(loop, node["discovery"], known.get("index"), Random(seed + 1), self.told,
+                                   self.unheard)
+        self.calls: dict[str, Call] = {}
+        self.ids = count()
+        self.ticking: asyncio.Handle | None = None
+        self.tick_at = float("inf")
+        self.times = {name: HdrHistogram(1, 60_000, 2) for name in self.methods}
+        self.answers = dict.fromkeys(("completed", "exhausted", "errored"), 0)
+        self.server: asyncio.Server | None = None
+        self.ended = loop.create_future()
+        if known:
+            _, index, entries, addresses = words.listing(known)
+            self.news("cached", index, entries, addresses)
+
+    def now(self) -> float:
+        return self.loop.time() * 1000.0 + self.offset
+
+    # What the list says
+
+    def told(self, kind: str, index: int | None, entries: list[tuple], addresses: dict[str, str]) -> None:
+        self.news(kind, index, entries, addresses)
+        self.soon()
+
+    def news(self, kind: str, index: int | None, entries: list[tuple], addresses: dict[str, str]) -> None:
+        # The module first: what is not sent any more for the list's sake is then sent elsewhere.
+        self.router.listed(self.now(), kind, index, entries)
+        self.caches.listed(kind, entries, addresses)
+
+    def unheard(self) -> None:
+        if self.asks:
+            self.router.listed(self.now(), "failed", None, [])
+            self.soon()
+
+    # The life of an RPC
+
+    def ask(self, turn: Turn, parts: list[bytes]) -> None:
+        try:
+            fields = words.rpc_fields(parts, self.methods, self.tenants)
+        except ValueError as reason:
+            turn.give(resp.fault(f"ERR {reason}"))
+            return
+        now = self.now()
+        method = self.methods[fields["method"]]
+        until = now + min(fields["patience"], method["hard_deadline"])
+        rpc = Rpc(str(next(self.ids)), fields["method"], fields["tenant"], fields["key"], fields["write"],
+                  now, until, fields["repeat"])
+        turn.rpc = call = self.calls[rpc.id] = Call(rpc, turn, parts)
+        self.carry(now, call, self.router.pick(now, rpc))
+
+    def carry(self, now: float, call: Call, cache: str | None) -> None:
+        rpc = call.rpc
+        if cache is not None:
+            holds(not rpc.over and now < rpc.until, "nothing is sent for an RPC that is over")
+            data = resp.command(words.passed_on(call.parts, rpc.time_out))
+            call.sending = self.caches.send(cache, call, len(rpc.sent) - 1, data, now, rpc.time_out)
+        elif rpc.answer == "exhausted":
+            ms = round(rpc.come_back)
+            self.answer(now, call, resp.fault(f"BUSY {ms}" if ms > 0 else "BUSY"))
+        elif rpc.answer == "errored":
+            self.answer(now, call, resp.fault("ERR errored"))
+        self.soon()
+
+    def answer(self, now: float, call: Call, data: bytes) -> None:
+        rpc, turn, call.turn = call.rpc, call.turn, None
+        holds(turn is not None, "an RPC gets one answer")
+        self.calls.pop(rpc.id, None)
+        if turn is not None:
+            self.answers[rpc.answer] += 1
+            self.times[rpc.method].record_value(max(1, round(now - rpc.arrived)))
+            turn.give(data)
+            self.leave_if_done()
+
+    def outcome(self, sending: Sending, outcome: str, answer: bytes, note: str | None, load: Any) -> None:
+        now, call = self.now(), sending.owner
+        rpc, call.sending = call.rpc, None
+        if outcome == "completed" and not rpc.over:
+            cache = self.router.report(now, rpc, sending.number, outcome, now - sending.at, note, load)
+            self.answer(now, call, resp.bulk(answer))
+            self.soon()
+            return
+        was = rpc.over
+        cache = self.router.report(now, rpc, sending.number, outcome, now - sending.at, note, load)
+        if not was:
+            self.carry(now, call, cache)
+        else:
+            self.soon()
+
+    def leave(self, turn: Turn) -> None:
+        """The client has gone: what was sent for it is called off."""
+        call = turn.rpc
+        if call is None or call.turn is None:
+            return
+        call.turn = None
+        self.calls.pop(call.rpc.id, None)
+        if self.router.left(self.now(), call.rpc) and call.sending is not None:
+            self.caches.give_up(call.sending, "cancelled")
+        self.soon()
+        self.leave_if_done()
+
+    # Time
+
+    def soon(self) -> None:
+        """A tick, once all that has come at one time is handled."""
+        if self.ticking is None or self.tick_at > 0.0:
+            if self.ticking is not None:
+                self.ticking.cancel()
+            self.ticking, self.tick_at = self.loop.call_soon(self.tick), 0.0
+
+    def tick(self) -> None:
+        self.ticking, now = None, self.now()
+        while (moved := self.router.woken(now)) is not None:
+            call = self.calls.get(moved[0].id)
+            holds(call is not None, "an RPC that waits has a call")
+            if call is not None:
+                self.carry(now, call, moved[1])
+        wait = self.router.tick(now)
+        for line in self.router.lines:
+            log.info("mode", extra={"what": line})
+        self.router.lines.clear()
+        for chore in self.router.chores:
+            if chore[0] == "close":
+                self.caches.close_idle(chore[1])
+        self.router.chores.clear()
+        if self.ticking is not None:
+            self.ticking.cancel()
+        self.tick_at = self.loop.time() + min(wait, 60_000.0) / 1000.0
+        self.ticking = self.loop.call_at(self.tick_at, self.tick)
+
+    def upkeep(self) -> None:
+        self.caches.retire()
+        gc.collect(0)
+        self.loop.call_later(0.5, self.upkeep)
+
+    # Start and end
+
+    async def serve(self) -> None:
+        host, port = words.place(self.node["listen"])
+        self.loop.set_exception_handler(self.trouble)
+        self.discovery.start()
+        self.upkeep()
+        self.soon()
+        # Few long-lived objects change from here on: collections stay short, and timers in time.
+        gc.collect()
+        gc.freeze()
+        gc.set_threshold(20_000, 50, 1000)
+        self.server = await self.loop.create_server(lambda: Client(self.clients), host, port, backlog=512)
+        self.loop.add_signal_handler(signal.SIGTERM, self.terminate)
+        self.loop.add_signal_handler(signal.SIGINT, self.terminate)
+        log.info("serving", extra={"proxy": self.node["name"], "listen": self.node["listen"],
+                                   "caches": len(self.caches.pools)})
+        await self.ended
+        self.caches.close()
+        self.discovery.stop()
+        for name, times in self.times.items():
+            if times.get_total_count():
+                log.info("answer times", extra={"method": name, "count": times.get_total_count(), **{
+                    f"p{part}": times.get_value_at_percentile(part) for part in (50, 90, 99)}})
+        log.info("stopped", extra=self.answers | {"broken": dict(broken) or None})
+
+    def trouble(self, loop: asyncio.AbstractEventLoop, context: dict) -> None:
+        reason = context.get("exception")
+        trace = reason if isinstance(reason, Exception) and not isinstance(reason, OSError) else None
+        log.error("trouble", extra={"what": context.get("message"), "reason": repr(reason)}, exc_info=trace)
+
+    def terminate(self) -> None:
+        if self.clients.leaving or self.server is None:
+            return
+        log.info("draining", extra={"calls": len(self.calls), "clients": len(self.clients.open)})
+        self.loop.remove_signal_handler(signal.SIGTERM)
+        self.loop.add_signal_handler(signal.SIGTERM, lambda: None)
+        self.loop.call_later(LINGER, self.part)
+
+    def part(self) -> None:
+        """Nothing new: connections close once they owe no answer, and the proxy ends with the last."""
+        self.server.close()
+        self.clients.part()
+        self.leave_if_done()
+        self.loop.call_later(self.patience + 0.1, self.end)
+
+    def leave_if_done(self) -> None:
+        if self.clients.leaving and not self.calls:
+            self.loop.call_later(0.05, self.end)  # what was answered last still has to leave
+
+    def end(self) -> None:
+        if not self.ended.done():
+            self.ended.set_result(None)
--- /dev/null
+++ b/calicofall/net/resp.py
@@ -0,0 +1,129 @@
+"""RESP2: a parser that reads values out of a ring buffer, and writers.
+
+Owns what it has read of a value that is not whole yet. Must never block, look beyond its buffer, or let a
+peer make it hold more than its bounds: what breaks them is Broken, and framing is lost.
+"""
+
+from calicofall.net.buffer import RingBuffer
+
+LARGEST = 1 << 16  # bytes of a value
+LINE = 1024  # bytes of a line without a value
+WIDEST, DEEPEST, HEAVIEST = 32, 4, 3 << 16  # members of an array, arrays in arrays, bytes of a whole message
+DIGITS = frozenset(b"0123456789")
+
+
+class Broken(Exception):
+    """What came is no RESP2, or is too large."""
+
+
+class Word(bytes):
+    """A simple string."""
+
+
+class Fault(bytes):
+    """An error reply."""
+
+
+class Coming:
+    """A value that has not come whole yet."""
+
+
+COMING = Coming()
+Value = bytes | int | list | None
+
+
+class Parser:
+    def __init__(self, ring: RingBuffer) -> None:
+        self.ring = ring
+        self.stack: list[tuple[list, int]] = []
+        self.bulk = -1  # bytes of the bulk string that is coming
+        self.scanned = self.weight = 0
+
+    def next(self) -> Value | Coming:
+        while True:
+            if self.bulk >= 0:
+                if len(self.ring) < self.bulk + 2:
+                    return COMING
+                value: Value = self.ring.take(self.bulk)
+                self.bulk = -1
+                if self.ring.take(2) != b"\r\n":
+                    raise Broken("a bulk string of another length than announced")
+            else:
+                line = self._line()
+                if line is None:
+                    return COMING
+                kind, rest = line[:1], line[1:]
+                if kind == b"$" or kind == b"*":
+                    count = self._number(rest)
+                    if count > (LARGEST if kind == b"$" else WIDEST) or count < -1:
+                        raise Broken("too large" if count > 0 else "a negative length")
+                    if kind == b"$" and count >= 0:
+                        self._weigh(count)
+                        self.bulk = count
+                        continue
+                    if kind == b"*" and count > 0:
+                        if len(self.stack) >= DEEPEST:
+                            raise Broken("arrays too deep")
+                        self.stack.append(([], count))
+                        continue
+                    value = None if count < 0 else []
+                elif kind == b"+":
+                    value = Word(rest)
+                elif kind == b"-":
+                    value = Fault(rest)
+                elif kind == b":":
+                    value = self._number(rest)
+                else:
+                    raise Broken("not RESP2")
+            while self.stack:
+                items, count = self.stack[-1]
+                items.append(value)
+                if len(items) < count:
+                    break
+                value = items
+                self.stack.pop()
+            else:
+                self.weight = 0
+                return value
+
+    def _line(self) -> bytes | None:
+        end = self.ring.find(10, self.scanned)
+        if end < 0:
+            self.scanned = len(self.ring)
+            if self.scanned > LINE:
+                raise Broken("a line too long")
+            return None
+        self.scanned = 0
+        line = self.ring.take(end + 1)
+        if len(line) < 3 or len(line) > LINE or line[-2] != 13:
+            raise Broken("a line too short, too long or without its end")
+        self._weigh(len(line))
+        return line[:-2]
+
+    def _weigh(self, count: int) -> None:
+        self.weight += count
+        if self.weight > HEAVIEST:
+            raise Broken("a message too large")
+
+    @staticmethod
+    def _number(text: bytes) -> int:
+        digits = text[1:] if text[:1] == b"-" else text
+        if not digits or len(digits) > 18 or not DIGITS.issuperset(digits):
+            raise Broken("a number that is none")
+        return int(text)
+
+
+def bulk(value: bytes) -> bytes:
+    return b"$%d\r\n%b\r\n" % (len(value), value)
+
+
+def command(parts: list[bytes]) -> bytes:
+    return b"*%d\r\n%b" % (len(parts), b"".join(map(bulk, parts)))
+
+
+def word(text: str) -> bytes:
+    return b"+%b\r\n" % text.encode()
+
+
+def fault(text: str) -> bytes:
+    return b"-%b\r\n" % text.encode()
--- a/calicofall/rpc.py
+++ b/calicofall/rpc.py
@@ -33,6 +33,9 @@
     missed: bool = False  # a cache lacked the key: the origin is next
     passed: set[str] = field(default_factory=set)  # cold caches that had no room when the chance was taken
     within_share: bool | None = None  # unknown until first asked about
+    answer: str | None = None  # the final one: completed, exhausted or errored
+    come_back: float = 0.0  # when the client may ask again (ms), where exhausted
+    time_out: float = 0.0  # how long the last transmission is waited for (ms)
 
     def first_run(self) -> Transmission | None:
         """The first transmission that may have run."""
--- /dev/null
+++ b/calicofall/words.py
@@ -0,0 +1,113 @@
+"""Where the words of the settings and of the sockets become ours, the only place that knows theirs.
+
+Owns the names in settings, commands, answers and lists, with times turned into milliseconds. Must never
+decide anything, keep anything, or raise anything but ValueError on what it cannot read.
+"""
+
+import re
+from math import ceil, isfinite
+from typing import Any
+
+NS = 1_000_000  # nanoseconds in a millisecond
+
+REPEATS = {"pure": "retriable", "token": "deduped", "side_effect": "non-retriable"}
+NAMES = {"balancers": "proxies", "realms": "tenants", "failure_domains": "zones", "tardy_gain": "late_gain",
+         "overage_gain": "over_share_gain", "effect": "repeats", "quota_per_s": "quota", "blend": "goal",
+         "start_capacity": "cold_share", "domain": "data", "stats": "reports"}
+STATES = {"SERVING": "ready", "DRAINING": "draining", "DELETED": "gone"}
+NOTES = {b"hit": "hit", b"miss": "fetched", b"pending": "fetching"}
+ARGUMENTS = {b"C.GET": 4, b"C.SET": 5}  # of the commands that are RPCs, how many with their own name
+DIGITS = re.compile(rb"[0-9]{1,9}(\.[0-9]{1,6})?")
+
+
+def deployment(value: Any) -> Any:
+    """The settings as a plain map: our names, times in milliseconds; what is unknown is carried along."""
+    if isinstance(value, list):
+        return [deployment(item) for item in value]
+    if not isinstance(value, dict):
+        return value
+    out = {}
+    for name, item in value.items():
+        if name.endswith("Ns") and isinstance(item, int | float):
+            name, item = name[:-2], item / NS
+        name = re.sub(r"([A-Z])", lambda m: "_" + m.group(1).lower(), name)
+        name = NAMES.get(name, name)
+        out[name] = REPEATS.get(item, item) if name == "repeats" else deployment(item)
+    return out
+
+
+def seed(text: Any) -> int:
+    """The seed as the module wants it; written in hexadecimal, or a number already."""
+    return text if isinstance(text, int) else int(text, 16)
+
+
+def listing(message: Any) -> tuple[str, int | None, list[tuple], dict[str, str]]:
+    """A list or its changes: kind, version, entries as the module takes them, addresses by name."""
+    try:
+        entries, addresses = [], {}
+        for line in message["endpoints"]:
+            name, weight, since = line["name"], line.get("weight"), line.get("since_ms") or 0
+            state = STATES.get(line.get("status"), "gone")
+            if not isinstance(name, str) or not isinstance(since, int | float):
+                raise ValueError("a name or a start that is none")
+            if weight is not None and not isinstance(weight, int | float):
+                raise ValueError("a weight that is no number")
+            entries.append((name, line.get("zone") or "", line.get("type") or "", line.get("group") or 0,
+                            state, weight, float(since)))
+            if isinstance(line.get("address"), str):
+                addresses[name] = line["address"]
+        return "full" if message.get("snapshot") else "delta", message.get("index"), entries, addresses
+    except (TypeError, KeyError, AttributeError) as fault:
+        raise ValueError(f"no list: {fault!r}") from None
+
+
+def place(address: str) -> tuple[str, int]:
+    """Host and port of an address."""
+    host, colon, port = address.rpartition(":")
+    if not colon or not host or not port.isdigit() or not 0 < int(port) < 65536:
+        raise ValueError(f"no address: {address!r}")
+    return host, int(port)
+
+
+def rpc_fields(parts: list[bytes], methods: dict, tenants: dict) -> dict[str, Any]:
+    """What a client's command asks for: method, tenant, key, write, patience (ms), repeat."""
+    if len(parts) != ARGUMENTS[parts[0]]:
+        raise ValueError("wrong number of arguments")
+    pairs = dict(pair.partition(b"=")[::2] for pair in parts[3].split(b","))
+    try:
+        method, tenant = pairs[b"c"].decode(), pairs[b"t"].decode() if b"t" in pairs else None
+        key = int(parts[1], 16)
+    except (KeyError, UnicodeDecodeError):
+        raise ValueError("no method named") from None
+    except ValueError:
+        raise ValueError("bad key") from None
+    if method not in methods:
+        raise ValueError("unknown method")
+    if tenants and tenant not in tenants:
+        raise ValueError("unknown tenant")
+    patience = pairs.get(b"d", b"")
+    if not DIGITS.fullmatch(patience) or float(patience) <= 0.0:
+        raise ValueError("bad d")
+    if not 0 <= key < 1 << 64 or len(parts[1]) > 16:
+        raise ValueError("bad key")
+    return {"method": method, "tenant": tenant, "key": key, "write": parts[0] == b"C.SET",
+            "patience": float(patience), "repeat": pairs.get(b"r") == b"1"}
+
+
+def passed_on(parts: list[bytes], patience: float) -> list[bytes]:
+    """The client's command as a cache gets it: unchanged but for how long is waited for the answer."""
+    wait = b"d=%d" % max(1, ceil(patience))
+    pairs = b",".join(wait if pair.startswith(b"d=") else pair for pair in parts[3].split(b","))
+    return [*parts[:3], pairs, *parts[4:]]
+
+
+def report(value: Any) -> dict[str, float] | None:
+    """A cache's load report: names and numbers, or nothing."""
+    if not isinstance(value, bytes):
+        return None
+    pairs = (pair.partition(b"=")[::2] for pair in value.split(b","))
+    try:
+        found = {name.decode(): float(number) for name, number in pairs}
+    except ValueError:
+        return None
+    return found if all(map(isfinite, found.values())) else None
