Tests of the proxy on fake transports and time; the adapter uses the facade, too

Seen while testing: an aborted connection stays open until the loop's next turn, so a retry could be written while the earlier transmission was still out on it: cut() now shuts the socket down first. Discovery was a coroutine that no fake clock could drive; it is callbacks now.

--- a/calicofall/__main__.py
+++ b/calicofall/__main__.py
@@ -41,6 +41,8 @@
             for part in ("name", "repeats", "window", "soft_deadline", "hard_deadline"):
                 method[part]
         deployment["rules"], deployment["caps"]
+        if int((node.get("limits") or {}).get("sockets") or 1024) < 64:
+            raise ValueError("limits.sockets is under 64")
     except OSError as reason:
         raise click.ClickException(f"{path}: {reason.strerror}") from None
     except (ValueError, TypeError, KeyError, AttributeError) as reason:
--- a/calicofall/benchlink/codec.py
+++ b/calicofall/benchlink/codec.py
@@ -1,21 +1,19 @@
-"""Between the bench's wire and our words: milliseconds for nanoseconds, trade names for wire names."""
+"""Between the bench's wire and our words: milliseconds for nanoseconds, trade names for wire names.
+
+The settings become ours in words.py, for the wire and the sockets alike.
+"""
 
-import re
 from typing import Any
 
 import orjson
 
-NS = 1_000_000  # nanoseconds in a millisecond
+from calicofall.words import NS
 
 OUTCOMES = {0: "completed", 13: "error", 8: "full", 4: "timeout", 14: "unconnected", 10: "reset",
             1: "cancelled", 9: "moot", 5: "missed"}
 LISTS = {0: "delta", 1: "full", 2: "cached", 3: "failed"}
 STATES = {2: "ready", 0: "draining", 1: "gone"}
 NOTES = {1: "hit", 2: "fetched", 3: "fetching"}
-REPEATS = {"pure": "retriable", "token": "deduped", "side_effect": "non-retriable"}
-NAMES = {"balancers": "proxies", "realms": "tenants", "failure_domains": "zones", "tardy_gain": "late_gain",
-         "overage_gain": "over_share_gain", "effect": "repeats", "quota_per_s": "quota", "blend": "goal",
-         "start_capacity": "cold_share", "domain": "data", "stats": "reports"}
 
 
 class Malformed(Exception):
@@ -32,22 +30,6 @@
     return message
 
 
-def deployment(value: Any) -> Any:
-    """The settings as a plain map: our names, times in milliseconds; what is unknown is carried along."""
-    if isinstance(value, list):
-        return [deployment(item) for item in value]
-    if not isinstance(value, dict):
-        return value
-    out = {}
-    for name, item in value.items():
-        if name.endswith("Ns") and isinstance(item, int | float):
-            name, item = name[:-2], item / NS
-        name = re.sub(r"([A-Z])", lambda m: "_" + m.group(1).lower(), name)
-        name = NAMES.get(name, name)
-        out[name] = REPEATS.get(item, item) if name == "repeats" else deployment(item)
-    return out
-
-
 def entry(line: list[Any]) -> tuple[str, str, str, int, str, float | None, float]:
     """One line of a cache list: cache, zone, kind, cell, state, weight, listed start (0: long ago)."""
     cache, zone, kind, cell, state, weight, started = (line + [None] * 7)[:7]
--- a/calicofall/benchlink/host.py
+++ b/calicofall/benchlink/host.py
@@ -1,4 +1,4 @@
-"""Holds the timers and the RPCs in hand of each instance, asks the module, and decides nothing itself."""
+"""Between the bench's wire and each instance's facade; holds one timer an instance and decides nothing."""
 
 from collections.abc import Callable
 from typing import Any, BinaryIO
@@ -6,122 +6,98 @@
 from calicofall.benchlink.codec import (
     LISTS,
     NOTES,
-    NS,
     OUTCOMES,
     Malformed,
-    deployment,
     encode,
     entry,
     ns,
     parse,
 )
-from calicofall.policy import Policy
+from calicofall.facade import SLACK, Router
 from calicofall.rpc import Rpc
+from calicofall.words import NS, deployment
 
-REVIEW = 0  # the token of the module's own timer; RPCs that wait have tokens from 1 on
+TICK = 0  # the token of the one timer of an instance
 
 
 class Proxy:
-    """One instance: its module, its RPCs, its timers."""
+    """One instance: the module behind its facade, and its timer."""
 
     def __init__(self, number: int, nonce: int, settings: dict, now: float, out: list[bytes]) -> None:
         self.number, self.out = number, out
-        self.policy = Policy(deployment(settings), nonce, now)
-        self.hand: dict[str, Rpc] = {}
-        self.waiting: dict[int, Rpc] = {}
-        self.tokens = REVIEW
-        self.review_at = float("inf")
+        self.router = Router(deployment(settings), nonce, now)
+        self.tick_at = float("inf")
 
     def put(self, name: str, *values: Any) -> None:
         self.out.append(encode([name, self.number, *values]))
 
-    def act(self, now: float, rpc: Rpc, verdict: tuple | None) -> None:
-        if verdict is None:
-            return
-        what = verdict[0]
-        if what == "send":
-            self.put("PassOn", rpc.id, verdict[1], ns(verdict[2]))
-        elif what == "wait":
-            self.tokens += 1
-            self.waiting[self.tokens] = rpc
-            self.put("Remind", ns(verdict[1]), self.tokens)
-        else:
-            rpc.over = True
-            if what == "exhausted":
-                self.put("NotNow", rpc.id, ns(verdict[1]))
-            else:
-                self.put("Surrender", rpc.id)
-            self.drop(rpc)
-
-    def drop(self, rpc: Rpc) -> None:
-        if rpc.over and all(tx.outcome for tx in rpc.sent):
-            self.hand.pop(rpc.id, None)
+    def act(self, rpc: Rpc, cache: str | None) -> None:
+        if cache is not None:
+            self.put("PassOn", rpc.id, cache, ns(rpc.time_out))
+        elif rpc.answer == "exhausted":
+            self.put("NotNow", rpc.id, ns(rpc.come_back))
+        elif rpc.answer == "errored":
+            self.put("Surrender", rpc.id)
 
     def knock(self, now: float, corr: str, method: str, until: int, bits: int, tenant: str | None,
               _size: Any, _work: Any, key: int | None) -> None:
         rpc = Rpc(corr, method, tenant, key, bool(bits & 4), now, until / NS, bool(bits & 2))
-        self.hand[corr] = rpc
-        self.act(now, rpc, self.policy.where(now, rpc))
+        self.act(rpc, self.router.pick(now, rpc))
 
     def reply(self, now: float, corr: str, go: int, _node: str, rc: int, took: int, complete: bool,
               info: int | None, stats: Any) -> None:
-        rpc = self.hand.get(corr)
+        rpc = self.router.hand.get(corr)
         if rpc is None or go >= len(rpc.sent) or rpc.sent[go].outcome:
             return
-        rpc.sent[go].outcome = OUTCOMES.get(rc, "error")
-        rpc.over = rpc.over or complete
-        verdict = self.policy.after(now, rpc, go, took / NS, NOTES.get(info or 0), stats)
-        if not rpc.over:
-            self.act(now, rpc, verdict)
-        self.drop(rpc)
+        done = rpc.over or complete
+        cache = self.router.report(now, rpc, go, OUTCOMES.get(rc, "error"), took / NS, NOTES.get(info or 0),
+                                   stats, complete)
+        if not done:
+            self.act(rpc, cache)
 
     def ackfirst(self, now: float, corr: str, _go: int, _node: str, _took: int) -> None:
-        if corr in self.hand:
-            self.hand[corr].bound = True
+        if corr in self.router.hand:
+            self.router.hand[corr].bound = True
 
     def lapsed(self, now: float, corr: str) -> None:
-        rpc = self.hand.get(corr)
-        if rpc is None or rpc.over:
-            return
-        rpc.over = True
-        for number in self.policy.left(now, rpc):
-            self.put("Recall", corr, number)
-        self.drop(rpc)
+        rpc = self.router.hand.get(corr)
+        if rpc is not None:
+            for number in self.router.left(now, rpc):
+                self.put("Recall", corr, number)
 
     def registry(self, now: float, kind: int, serial: int | None, lines: list | None) -> None:
-        self.policy.listed(now, LISTS.get(kind, "delta"), serial, [entry(line) for line in lines or []])
+        self.router.listed(now, LISTS.get(kind, "delta"), serial, [entry(line) for line in lines or []])
 
-    def timeoutfired(self, now: float, ctx: int) -> None:
-        if ctx == REVIEW:
-            self.review_at = float("inf")
-            return
-        rpc = self.waiting.pop(ctx, None)
-        if rpc is not None and not rpc.over:
-            self.act(now, rpc, self.policy.where(now, rpc))
+    def timeoutfired(self, now: float, _ctx: int) -> None:
+        self.tick_at = float("inf")
+        while (moved := self.router.woken(now)) is not None:
+            self.act(*moved)
 
     def probedone(self, now: float, node: str, took: int, rc: int, _stats: Any) -> None:
-        self.policy.probed(now, node, rc == 0, took / NS)
+        self.router.probed(now, node, rc == 0, took / NS)
 
     def mail(self, now: float, _peer: int, _payload: str) -> None:
         """Peers share nothing here."""
 
     def settle(self, now: float) -> None:
-        """After a batch: the module's errands, and its own timer."""
-        wait, errands = self.policy.wait(now)
-        for errand, *values in errands:
-            if errand == "log":
-                self.put("Print", *values)
-            elif errand == "follow":
+        """After a batch: what the module has to say, its chores, and the timer."""
+        wait = self.router.tick(now)
+        for line in self.router.lines:
+            self.put("Print", line)
+        for chore, *values in self.router.chores:
+            if chore == "follow":
                 self.put("Watch", True)
-            elif errand == "close":
+            elif chore == "close":
                 self.put("LetGo", *values)
-            elif errand == "list":
+            elif chore == "list":
                 self.put("GetList")
-            elif errand == "probe":
+            elif chore == "probe":
                 self.put("Ping", *values)
-        if now + wait < self.review_at - 1:
-            self.review_at = now + wait
-            self.put("Remind", ns(wait), REVIEW)
+        self.router.lines.clear()
+        self.router.chores.clear()
+        if now + wait < self.tick_at - SLACK:
+            self.tick_at = now + wait
+            self.put("Remind", ns(wait), TICK)
 
 
 def serve(source: BinaryIO, sink: BinaryIO) -> None:
--- a/calicofall/facade.py
+++ b/calicofall/facade.py
@@ -65,7 +65,7 @@
                 self.lines.append(errand[1])
             else:
                 self.chores.append(errand)
-        return max(1.0, min(wait, self.waits[0][0] - now)) if self.waits else wait
+        return min(wait, max(0.0, self.waits[0][0] - now)) if self.waits else wait
 
     def _carry(self, now: float, rpc: Rpc, verdict: tuple | None) -> str | None:
         if verdict is None:
--- a/calicofall/net/caches.py
+++ b/calicofall/net/caches.py
@@ -7,7 +7,6 @@
 
 import asyncio
 import logging
-import socket
 from collections import deque
 from collections.abc import Callable
 from typing import Any
@@ -15,7 +14,7 @@
 from calicofall import words
 from calicofall.holds import holds
 from calicofall.net import resp
-from calicofall.net.stream import Stream
+from calicofall.net.stream import Stream, connect
 
 EARLIER = 0.9  # of the time after which a cache closes an idle connection, when ours is retired
 log = logging.getLogger("calicofall")
@@ -108,7 +107,10 @@
 def read(value: resp.Value) -> tuple[str, bytes, str | None, dict | None]:
     """A cache's reply: outcome, answer, note, load report."""
     if isinstance(value, resp.Fault):
-        return ("full" if value.split(b" ")[0] == b"BUSY" else "error"), b"", None, None
+        kind = value.split(b" ")[0]
+        if kind not in (b"BUSY", b"ERR"):
+            log.warning("strange fault", extra={"reason": repr(bytes(value))[:80]})
+        return ("full" if kind == b"BUSY" else "error"), b"", None, None
     if isinstance(value, list) and len(value) == 3 and isinstance(value[0], bytes):
         note = words.NOTES.get(value[1]) if isinstance(value[1], bytes) else None
         return "completed", value[0], note, words.report(value[2])
@@ -137,9 +139,7 @@
     def _open(self) -> Line:
         line = Line(self)
         self.lines.add(line)
-        task = self.caches.loop.create_task(self.caches.connect(line, self.address))
-        self.caches.tasks.add(task)
-        task.add_done_callback(self.caches.tasks.discard)
+        self.caches.open(self.caches.loop, line, self.address, self.caches.dial)
         return line
 
     def release(self) -> None:
@@ -156,7 +156,7 @@
         self.dial = (caps.get("dial_timeout") or 1000.0) / 1000.0
         self.keep = (caps.get("conn_idle") or 30_000.0) / 1000.0 * EARLIER
         self.pools: dict[str, Pool] = {}
-        self.tasks: set[asyncio.Task] = set()
+        self.open = connect
         self.each = self.most
 
     def count(self) -> int:
@@ -195,22 +195,6 @@
             line.send(sending)
         return sending
 
-    async def connect(self, line: Line, address: tuple[str, int]) -> None:
-        plug = None
-        try:
-            plug = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-            plug.setblocking(False)
-            async with asyncio.timeout(self.dial):
-                await self.loop.sock_connect(plug, address)
-            if line.closed:
-                plug.close()
-                return
-            await self.loop.create_connection(lambda: line, sock=plug)
-        except (OSError, TimeoutError, ValueError):  # refused, silent, or no descriptor left
-            if plug is not None:
-                plug.close()
-            line.cut()
-
     def give_up(self, sending: Sending, outcome: str) -> None:
         """Stop waiting: the connection is closed, unless others wait on it."""
         if sending.over:
--- a/calicofall/net/clients.py
+++ b/calicofall/net/clients.py
@@ -13,6 +13,7 @@
 from calicofall.words import ARGUMENTS
 
 PIPELINED = 16  # commands read ahead of their answers
+LINGER = 1.0  # s in which a client may read why its connection ends
 
 
 class Turn:
@@ -53,8 +54,10 @@
             if command is resp.COMING:
                 break
             self._take(command)
-        hold = not (self.closed or self.closing) and (self.deaf or len(self.turns) >= PIPELINED or self.stuck)
-        if hold != self.held and not self.closed and not self.closing:
+        if self.deaf:
+            self.inward.drop(len(self.inward))
+        hold = not self.deaf and (len(self.turns) >= PIPELINED or self.stuck)
+        if hold != self.held and not (self.closed or self.closing):
             self.held = hold
             self.transport.pause_reading() if hold else self.transport.resume_reading()
 
@@ -88,17 +91,25 @@
         while self.turns and self.turns[0].answer is not None and not self.stuck:
             self.write(self.turns.popleft().answer)
         if not self.turns and not self.closed:
-            if self.deaf or self.clients.leaving:
+            if self.deaf:
+                self.part()
+            elif self.clients.leaving:
                 self.close()
             else:
                 self.clients.idle(self)
-        if self.held and not self.deaf:
-            asyncio.get_running_loop().call_soon(self.came)
+        if self.held:
+            self.clients.loop.call_soon(self.came)
+
+    def part(self) -> None:
+        """The last answer is out. Guards against a close that resets it away: unread input does that."""
+        if self.patience is None and not len(self.outward):
+            self.transport.write_eof()
+            self.patience = self.clients.loop.call_later(LINGER, self.cut)
 
     def pause_writing(self) -> None:
         super().pause_writing()
         # Guards against clients that do not read: the answer has failed, and the cut tells so.
-        self.patience = asyncio.get_running_loop().call_later(self.clients.stall, self.cut)
+        self.patience = self.clients.loop.call_later(self.clients.stall, self.cut)
 
     def resume_writing(self) -> None:
         if self.patience is not None:
@@ -120,8 +131,9 @@
 class Clients:
     """All connections of clients, the longest idle first."""
 
-    def __init__(self, most: int, stall: float, ask: Callable, leave: Callable) -> None:
-        self.most, self.stall, self.ask, self.leave = max(1, most), stall, ask, leave
+    def __init__(self, loop: asyncio.AbstractEventLoop, most: int, stall: float, ask: Callable,
+                 leave: Callable) -> None:
+        self.loop, self.most, self.stall, self.ask, self.leave = loop, max(1, most), stall, ask, leave
         self.open: set[Client] = set()
         self.resting: OrderedDict[Client, None] = OrderedDict()
         self.leaving = False
--- a/calicofall/net/discovery.py
+++ b/calicofall/net/discovery.py
@@ -12,7 +12,7 @@
 import orjson
 
 from calicofall import words
-from calicofall.net.stream import Stream
+from calicofall.net.stream import Stream, connect
 
 SILENT = 3.0  # s without a line, where one comes every 2 s at the latest
 LONGEST = 1 << 20  # bytes of a line
@@ -25,20 +25,20 @@
 
 
 class Watch(Stream):
-    def __init__(self, host: str, since: int | None, news: Callable, lost: Callable) -> None:
+    def __init__(self, discovery: "Discovery") -> None:
         super().__init__()
-        self.news, self.tell_lost = news, lost
-        path = f"/api/targets?follow=1&since={since}" if since is not None else "/api/targets?follow=1"
-        self.ask = f"GET {path} HTTP/1.1\r\nHost: {host}\r\nAccept: application/json\r\n\r\n".encode()
-        self.stage, self.left, self.line = "status", 0, bytearray()
-        self.heard = asyncio.get_running_loop().time()
+        self.discovery = discovery
+        self.stage, self.left, self.line, self.chunked = "status", 0, bytearray(), False
+        self.heard = discovery.loop.time()
         self.why = "closed"
 
     def opened(self) -> None:
-        self.write(self.ask)
+        since = f"&since={self.discovery.since}" if self.discovery.since is not None else ""
+        self.write(f"GET /api/targets?follow=1{since} HTTP/1.1\r\nHost: {self.discovery.host}\r\n"
+                   "Accept: application/json\r\n\r\n".encode())
 
     def came(self) -> None:
-        self.heard = asyncio.get_running_loop().time()
+        self.heard = self.discovery.loop.time()
         try:
             while not self.closed and self._step():
                 pass
@@ -66,7 +66,7 @@
         if self.stage == "status":
             if text.split(b" ")[1:2] != [b"200"] or not text.startswith(b"HTTP/1."):
                 raise Wrong(f"answered {text[:40]!r}")
-            self.stage, self.chunked = "head", False
+            self.stage = "head"
         elif self.stage == "head":
             name, _, value = text.partition(b":")
             self.chunked = self.chunked or (
@@ -98,12 +98,12 @@
         for line in whole:
             if line.strip():
                 try:
-                    self.news(*words.listing(orjson.loads(line)))
+                    self.discovery.told(*words.listing(orjson.loads(line)))
                 except ValueError as reason:
                     raise Wrong(f"no list: {str(reason)[:60]}") from None
 
     def lost(self) -> None:
-        self.tell_lost(self)
+        self.discovery.lost(self)
 
 
 class Discovery:
@@ -113,40 +113,27 @@
                  news: Callable, failed: Callable) -> None:
         self.loop, self.chance, self.news, self.failed = loop, chance, news, failed
         self.host, self.place, self.since = address, words.place(address), since
+        self.open = connect
         self.watch: Watch | None = None
-        self.task: asyncio.Task | None = None
         self.pause = 0.0  # s before the next try
         self.stopped = self.down = False
 
     def start(self) -> None:
-        self.task = self.loop.create_task(self._follow())
-
-    async def _follow(self) -> None:
-        while not self.stopped:
-            ended = self.loop.create_future()
-            self.watch = watch = Watch(self.host, self.since, self._told,
-                                       lambda _, ended=ended: ended.done() or ended.set_result(None))
-            try:
-                async with asyncio.timeout(SILENT):
-                    await self.loop.create_connection(lambda watch=watch: watch, *self.place)
-                while not ended.done():
-                    left = watch.heard + SILENT - self.loop.time()
-                    if left <= 0.0:
-                        watch.why = f"silent for {SILENT:.0f} s"
-                        break
-                    await asyncio.wait([ended], timeout=left)
-            except (OSError, TimeoutError) as reason:
-                watch.why = repr(reason)
+        if not self.stopped:
+            self.watch = Watch(self)
+            self.open(self.loop, self.watch, self.place, SILENT)
+            self.loop.call_later(SILENT, self.listen, self.watch)
+
+    def listen(self, watch: Watch) -> None:
+        """Guards against a watch that has died without a word: keep-alive notices nothing."""
+        left = watch.heard + SILENT - self.loop.time()
+        if left <= 0.0:
+            watch.why = f"silent for {SILENT:.0f} s"
             watch.cut()
-            if not self.down and not self.stopped:
-                self.down = True
-                log.warning("list watch lost", extra={"reason": watch.why, "index": self.since})
-            self.failed()
-            # Guards against all proxies asking again at one time.
-            self.pause = min(1.0, self.pause * 2 or 0.05)
-            await asyncio.sleep(self.pause * self.chance.uniform(0.5, 1.5))
-
-    def _told(self, kind: str, index: int | None, entries: list[tuple], addresses: dict[str, str]) -> None:
+        elif not watch.closed:
+            self.loop.call_later(left, self.listen, watch)
+
+    def told(self, kind: str, index: int | None, entries: list[tuple], addresses: dict[str, str]) -> None:
         self.pause = 0.0
         if self.down:
             self.down = False
@@ -154,9 +141,18 @@
         self.news(kind, index, entries, addresses)
         self.since = index if isinstance(index, int) else self.since
 
+    def lost(self, watch: Watch) -> None:
+        if self.stopped:
+            return
+        if not self.down:
+            self.down = True
+            log.warning("list watch lost", extra={"reason": watch.why, "index": self.since})
+        self.failed()
+        # Guards against all proxies asking again at one time.
+        self.pause = min(1.0, self.pause * 2 or 0.05)
+        self.loop.call_later(self.pause * self.chance.uniform(0.5, 1.5), self.start)
+
     def stop(self) -> None:
         self.stopped = True
-        if self.task is not None:
-            self.task.cancel()
         if self.watch is not None:
             self.watch.cut()
--- a/calicofall/net/proxy.py
+++ b/calicofall/net/proxy.py
@@ -26,6 +26,7 @@
 
 SPARE = 48  # descriptors that are neither clients' nor caches'
 LINGER = 0.5  # s after SIGTERM in which new connections still come
+LAST = 3.45  # s after SIGTERM at which what is still in hand is given up
 log = logging.getLogger("calicofall")
 
 
@@ -52,7 +53,7 @@
         sockets = int((node.get("limits") or {}).get("sockets") or 1024)
         self.patience = max([m["hard_deadline"] for m in self.methods.values()], default=3000.0) / 1000.0
         self.caches = Caches(loop, deployment["caps"], int((sockets - SPARE) * 0.4), self.outcome)
-        self.clients = Clients(int((sockets - SPARE) * 0.6), self.patience, self.ask, self.leave)
+        self.clients = Clients(loop, int((sockets - SPARE) * 0.6), self.patience, self.ask, self.leave)
         known = node.get("known") or {}
         # A chance of its own: the module's is for its decisions alone.
         self.discovery = Discovery(loop, node["discovery"], known.get("index"), Random(seed + 1), self.told,
@@ -232,7 +233,15 @@
         self.server.close()
         self.clients.part()
         self.leave_if_done()
-        self.loop.call_later(self.patience + 0.1, self.end)
+        self.loop.call_later(LAST - LINGER, self.hasten)
+
+    def hasten(self) -> None:
+        """Guards against being killed with RPCs in hand: their time ends, the module answers."""
+        for call in list(self.calls.values()):
+            call.rpc.until = min(call.rpc.until, self.now())
+            if call.sending is not None:
+                self.caches.give_up(call.sending, "timeout")
+        self.loop.call_later(0.15, self.end)
 
     def leave_if_done(self) -> None:
         if self.clients.leaving and not self.calls:
--- a/calicofall/net/stream.py
+++ b/calicofall/net/stream.py
@@ -6,11 +6,14 @@
 
 import asyncio
 import logging
+import socket
+from contextlib import suppress
 
 from calicofall.net.buffer import RingBuffer
 
 CHUNK = 1 << 16
 log = logging.getLogger("calicofall")
+opening: set[asyncio.Task] = set()  # connections that are coming up
 
 
 class Stream(asyncio.BufferedProtocol):
@@ -76,22 +79,27 @@
 
     def cut(self) -> None:
         """Close at once; what has not left is lost."""
-        if not self.closed:
-            if self.transport is not None:
-                self.transport.abort()
-            self._over()
+        if self.closed:
+            return
+        self.closed = True
+        if self.transport is not None:
+            # Guards against a second copy: an abort alone leaves the socket open until the loop's next turn.
+            plug = self.transport.get_extra_info("socket")
+            with suppress(OSError):
+                if plug is not None:
+                    plug.shutdown(socket.SHUT_RDWR)
+            self.transport.abort()
+        self.lost()
 
     def connection_lost(self, exc: Exception | None) -> None:
         if not self.closed:
-            self._over()
+            self.closed = True
+            self.lost()
 
     def eof_received(self) -> bool:
+        self.cut()  # guards against a half-closed peer that takes no more: what is owed to it is over
         return False
 
-    def _over(self) -> None:
-        self.closed = True
-        self.lost()
-
     def opened(self) -> None:
         """The connection is up."""
 
@@ -100,3 +108,27 @@
 
     def lost(self) -> None:
         """The connection is over; called once."""
+
+
+def connect(loop: asyncio.AbstractEventLoop, stream: Stream, place: tuple[str, int], patience: float) -> None:
+    """Opens a connection for a stream, which is cut if none comes up in time."""
+    task = loop.create_task(_connect(loop, stream, place, patience))
+    opening.add(task)
+    task.add_done_callback(opening.discard)
+
+
+async def _connect(loop: asyncio.AbstractEventLoop, stream: Stream, place: tuple[str, int],
+                   patience: float) -> None:
+    plug = None
+    try:
+        plug = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        plug.setblocking(False)
+        async with asyncio.timeout(patience):
+            await loop.sock_connect(plug, place)
+        if not stream.closed:
+            await loop.create_connection(lambda: stream, sock=plug)
+            return
+    except (OSError, TimeoutError):  # refused, silent, or no descriptor left
+        stream.cut()
+    if plug is not None:
+        plug.close()
--- a/calicofall/words.py
+++ b/calicofall/words.py
@@ -48,12 +48,12 @@
         for line in message["endpoints"]:
             name, weight, since = line["name"], line.get("weight"), line.get("since_ms") or 0
             state = STATES.get(line.get("status"), "gone")
-            if not isinstance(name, str) or not isinstance(since, int | float):
-                raise ValueError("a name or a start that is none")
-            if weight is not None and not isinstance(weight, int | float):
-                raise ValueError("a weight that is no number")
-            entries.append((name, line.get("zone") or "", line.get("type") or "", line.get("group") or 0,
-                            state, weight, float(since)))
+            zone, kind, cell = line.get("zone") or "", line.get("type") or "", line.get("group") or 0
+            if not all(isinstance(text, str) for text in (name, zone, kind)):
+                raise ValueError("a name, zone or type that is none")
+            if not all(isinstance(figure, int | float) for figure in (since, cell, weight or 0)):
+                raise ValueError("a start, group or weight that is no number")
+            entries.append((name, zone, kind, cell, state, weight, float(since)))
             if isinstance(line.get("address"), str):
                 addresses[name] = line["address"]
         return "full" if message.get("snapshot") else "delta", message.get("index"), entries, addresses
--- /dev/null
+++ b/tests/test_proxy.py
@@ -0,0 +1,351 @@
+"""The life of RPCs on fake transports and time: a small test for each break looked for."""
+
+import json
+import os
+import subprocess
+import sys
+from pathlib import Path
+from random import Random
+
+import pytest
+from helpers import SETTINGS, Desk, ask, endpoint, reply
+
+from calicofall import words
+from calicofall.benchlink import host
+from calicofall.facade import Router
+from calicofall.net import resp
+from calicofall.rpc import Rpc
+
+
+def test_a_read_goes_to_a_cache_and_its_answer_to_the_client() -> None:
+    desk = Desk()
+    client = desk.client()
+    client.feed(ask())
+    line = desk.line()
+    assert b"d=900" in line.sent and line.take().startswith(b"*4\r\n$5\r\nC.GET\r\n")
+    line.feed(reply(b"fresh"))
+    assert client.take() == b"$5\r\nfresh\r\n"
+    client.feed(ask())
+    assert line.sent and len(desk.loop.opened) == 1  # the connection is used again
+    line.feed(b"-BUSY\r\n")
+    assert len(desk.loop.opened) == 2  # proven not run: sent to the next at once
+    desk.line().feed(reply(b"other"))
+    assert client.take() == b"$5\r\nother\r\n" and not desk.proxy.calls
+
+
+@pytest.mark.parametrize("data,answer", [
+    (resp.command([b"PING"]), b"+PONG\r\n"), (resp.command([b"ping", b"x"]), b"$1\r\nx\r\n"),
+    (resp.command([b"HELLO", b"3"]), b"-ERR unknown command\r\n"), (b"*0\r\n", b"-ERR a command is"),
+    (b":5\r\n", b"-ERR a command is"), (b"*1\r\n*0\r\n", b"-ERR a command is"),
+    (resp.command([b"C.GET", b"7"]), b"-ERR wrong number"), (ask(patience="x"), b"-ERR bad d"),
+    (ask().replace(b"read", b"nope"), b"-ERR unknown m"), (ask().replace(b"acme", b"none"), b"-ERR unkno")])
+def test_bad_commands_are_answered_and_the_connection_goes_on(data: bytes, answer: bytes) -> None:
+    client = Desk().client()
+    client.feed(data)
+    assert client.take().startswith(answer)
+    client.feed(resp.command([b"PING"]))
+    assert client.take() == b"+PONG\r\n" and client.open
+
+
+def test_lost_framing_is_answered_then_closed() -> None:
+    desk = Desk()
+    client = desk.client()
+    client.feed(ask() + b"GET / HTTP/1.1\r\n" + resp.command([b"PING"]))
+    assert not client.sent  # in order: the RPC before it is answered first
+    desk.line().feed(reply(b"late"))
+    assert client.sent == b"$4\r\nlate\r\n-ERR not RESP2\r\n"
+    client.feed(bytes(100_000))
+    desk.loop.run(1.5)
+    assert not client.open and client.sent.count(b"ERR") == 1
+
+
+def test_answers_come_in_the_order_of_commands() -> None:
+    desk = Desk()
+    client = desk.client()
+    client.feed(ask(key=1) + ask(key=1) + resp.command([b"PING"]))
+    first, second = desk.line(0), desk.line(1)
+    second.feed(reply(b"second"))
+    assert not client.sent
+    first.feed(reply(b"first"))
+    assert client.sent == b"$5\r\nfirst\r\n$6\r\nsecond\r\n+PONG\r\n"
+
+
+@pytest.mark.parametrize("method,up,answer", [
+    ("read", True, b"-BUSY"), ("order", True, b"-ERR errored"), ("order", False, b"-BUSY"),
+    ("save", True, b"-BUSY"), ("save", False, b"-BUSY")])
+def test_a_connection_that_broke_proves_not_run_only_before_it_was_up(method: str, up: bool,
+                                                                      answer: bytes) -> None:
+    desk = Desk(caches=1)
+    client = desk.client()
+    client.feed(ask(method))
+    if up:
+        desk.line().abort()
+    else:
+        desk.loop.opened[0][0].cut()  # refused, or never came up
+    desk.loop.run()
+    assert client.sent.startswith(answer)
+
+
+def test_what_still_lay_in_our_buffer_has_not_run() -> None:
+    """Bytes held back behind a full socket never left: only those count as proof."""
+    desk = Desk(caches=1)
+    desk.proxy.caches.each = 1  # the second is written behind the first
+    client, other = desk.client(), desk.client()
+    client.feed(ask("order", key=1, value=bytes(50_000)))
+    line = desk.line(room=100)
+    other.feed(ask("order", key=2))
+    assert len(desk.loop.opened) == 1
+    line.abort()
+    desk.loop.run()
+    assert client.sent.startswith(b"-ERR errored") and other.sent.startswith(b"-BUSY ")
+
+
+def test_a_late_reply_is_matched_to_nothing() -> None:
+    desk = Desk(caches=1)
+    desk.proxy.caches.each = 1
+    client, other = desk.client(), desk.client()
+    client.feed(ask(patience="100"))
+    line = desk.line()
+    other.feed(ask(patience="900"))
+    desk.loop.run(0.2)
+    assert client.take().startswith(b"-BUSY") and line.open  # another still waits on the connection
+    line.feed(reply(b"late") + reply(b"fresh"))
+    assert other.sent == b"$5\r\nfresh\r\n" and not client.sent
+
+
+def test_a_transmission_given_up_closes_its_connection() -> None:
+    desk = Desk()
+    client = desk.client()
+    client.feed(ask(patience="100"))
+    line = desk.line()
+    desk.loop.run(0.101)
+    assert client.sent.startswith(b"-BUSY") and not line.open and not desk.proxy.calls
+
+
+def test_a_client_that_leaves_has_its_rpc_called_off() -> None:
+    desk = Desk()
+    client = desk.client()
+    client.feed(ask())
+    line = desk.line()
+    client.abort()
+    assert not line.open and not desk.proxy.calls and not desk.proxy.router.hand
+
+
+def test_a_client_that_leaves_while_a_connection_comes_up_sends_nothing() -> None:
+    desk = Desk()
+    client = desk.client()
+    client.feed(ask())
+    client.abort()
+    assert not desk.line().sent and not desk.proxy.router.hand
+
+
+@pytest.mark.parametrize("data", [b"*2\r\n$1\r\nx\r\n$-1\r\n", b"+OK\r\n", b"$-1\r\n", b"!\r\n",
+                                  b"*3\r\n$-1\r\n$-1\r\n$-1\r\n"])
+def test_a_broken_reply_is_a_reset(data: bytes) -> None:
+    desk = Desk(caches=1)
+    client = desk.client()
+    client.feed(ask("order"))
+    line = desk.line()
+    line.feed(data)
+    desk.loop.run()
+    assert not line.open and client.sent == b"-ERR errored\r\n"
+
+
+def test_a_reply_to_nothing_closes_the_connection() -> None:
+    desk = Desk()
+    desk.client().feed(ask())
+    line = desk.line()
+    line.feed(reply() + reply(b"stray"))
+    assert not line.open
+
+
+def test_idle_connections_are_retired_before_the_caches_close_them() -> None:
+    desk = Desk()
+    desk.client().feed(ask())
+    line = desk.line()
+    line.feed(reply())
+    desk.loop.run(26.0)
+    desk.proxy.caches.retire()
+    assert line.open
+    desk.loop.run(2.0)
+    desk.proxy.caches.retire()
+    assert not line.open
+
+
+def test_a_drained_cache_gets_nothing_new() -> None:
+    """What waited for a connection to it is sent elsewhere, what is out is finished."""
+    desk = Desk(caches=2)
+    client, other = desk.client(), desk.client()
+    client.feed(ask(key=5))
+    owner = next(name for name, pool in desk.proxy.caches.pools.items() if pool.lines)
+    line = desk.line()
+    other.feed(ask(key=5))
+    desk.list(endpoint(owner, "DRAINING"))
+    assert desk.loop.opened[1][0].closed and len(desk.loop.opened) == 3
+    line.feed(reply(b"done"))
+    assert client.sent == b"$4\r\ndone\r\n" and not line.open
+    desk.line(2).feed(reply(b"elsewhere"))
+    assert other.sent == b"$9\r\nelsewhere\r\n"
+
+
+def test_an_address_changes_under_one_name() -> None:
+    desk = Desk(caches=1)
+    client = desk.client()
+    client.feed(ask())
+    line = desk.line()
+    line.feed(reply())
+    desk.list(endpoint("c1", address="10.9.9.9:7000"))
+    assert not line.open
+    client.feed(ask())
+    assert desk.loop.opened[-1][1] == ("10.9.9.9", 7000)
+
+
+def test_connections_are_capped_within_the_descriptors() -> None:
+    desk = Desk(caches=2, sockets=64)  # six for caches, nine for clients
+    for limit in (desk.proxy.router.policy.fleet, desk.proxy.router.policy.origin):
+        limit.value, limit.spare = 1000.0, 2_000_000.0
+    clients = [desk.client() for _ in range(9)]
+    for number, client in enumerate(clients):
+        client.feed(ask(key=number) + ask(key=number + 100))
+    assert desk.proxy.caches.count() <= 6 and len(desk.proxy.calls) == 18
+    assert not desk.client().open  # none rests: the newcomer goes
+    desk.line(0)
+    resting = [desk.client() for _ in range(3)]
+    assert not any(client.open for client in resting)
+
+
+def test_a_client_that_does_not_read_is_cut_in_the_end() -> None:
+    desk = Desk()
+    client = desk.client(room=1000)
+    client.feed(ask(key=1))
+    desk.line().feed(reply(bytes(60_000)))
+    for _ in range(30):
+        client.feed(ask(key=1))
+    assert client.paused and len(desk.proxy.calls) == 0  # nothing more is begun for it
+    desk.loop.run(3.0)
+    assert not client.open
+
+
+def test_sigterm_lets_all_in_hand_finish() -> None:
+    desk = Desk()
+    desk.proxy.server = type("Server", (), {"close": lambda self: None})()
+    busy, idle = desk.client(), desk.client()
+    busy.feed(ask(patience="2000"))
+    line = desk.line()
+    desk.proxy.part()
+    assert not idle.open and busy.open and not desk.proxy.ended.done()
+    line.feed(reply(b"last"))
+    assert busy.sent == b"$4\r\nlast\r\n" and not busy.open
+    desk.loop.run(0.1)
+    assert desk.proxy.ended.done()
+
+
+def test_sigterm_answers_what_cannot_finish_before_the_kill() -> None:
+    desk = Desk(methods=[SETTINGS["methods"][0] | {"hardDeadlineNs": 9_000_000_000}])
+    desk.proxy.server = type("Server", (), {"close": lambda self: None})()
+    client = desk.client()
+    client.feed(ask(patience="9000"))
+    desk.line()
+    desk.proxy.part()
+    desk.loop.run(3.0)
+    assert client.sent.startswith(b"-BUSY") and not desk.proxy.calls
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_every_rpc_has_one_answer_on_generated_days(seed: int) -> None:
+    """Caches answer, turn away, break, say nothing, leave the list; clients leave; nothing is lost."""
+    chance, desk = Random(seed), Desk(caches=4)
+    clients, lines, asked = [desk.client() for _ in range(12)], [], 0
+    for step in range(2500):
+        while len(lines) < len(desk.loop.opened):
+            stream = desk.loop.opened[len(lines)][0]
+            if stream.closed or chance.random() < 0.05:
+                stream.cut()
+                lines.append(None)
+            else:
+                lines.append(desk.line(len(lines)))
+        for line in [line for line in lines[-40:] if line is not None and line.open and line.stream.queue]:
+            what = chance.random()
+            if what < 0.3:
+                line.feed(reply(b"x" * chance.randrange(2000), chance.choice([b"hit", b"miss", None])))
+            elif what < 0.36:
+                line.feed(chance.choice([b"-BUSY\r\n", b"-ERR failed\r\n", b"?\r\n"]))
+            elif what < 0.38:
+                line.abort()
+        client = chance.choice(clients)
+        if client.open and not client.stream.turns:
+            client.take()
+            client.feed(ask(chance.choice(["read", "read", "save", "order"]), chance.randrange(9),
+                            str(chance.randrange(50, 900))))
+            asked += 1
+        elif chance.random() < 0.02:
+            clients[clients.index(client)] = desk.client()
+            client.abort()
+        if step % 200 == 0:
+            desk.list(endpoint(f"c{chance.randrange(1, 5)}", chance.choice(["SERVING"] * 2 + ["DRAINING"])))
+        desk.loop.run(0.01)
+        late = [call for call in desk.proxy.calls.values() if desk.proxy.now() > call.rpc.until + 1.0]
+        assert not late
+    desk.loop.run(2.1)
+    assert asked > 500 and not desk.proxy.calls and not desk.proxy.router.hand
+    assert all(not client.stream.turns for client in clients)
+    assert sum(desk.proxy.answers.values()) <= asked
+
+
+def test_same_inputs_give_the_simulators_decisions() -> None:
+    """The adapter and the proxy's facade, given the same settings, seed, list and keys, send alike."""
+    chance, out, said = Random(5), [], []
+    wired = host.Proxy(0, words.seed("8c1f30d27a5be964"), SETTINGS, 0.0, out)
+    wired.registry(0.0, 2, 1, [[f"c{i}", "a", "box", 0, 2, 1.0 + i % 2, 0] for i in range(6)])
+    plain = Router(words.deployment(json.loads(json.dumps(SETTINGS))), words.seed("8c1f30d27a5be964"), 0.0)
+    listed = {"snapshot": True, "endpoints": [endpoint(f"c{i}") | {"weight": 1.0 + i % 2} for i in range(6)]}
+    plain.listed(0.0, "cached", 1, words.listing(listed)[2])
+
+    def act(rpc: Rpc, cache: str | None) -> None:
+        if cache is not None:
+            said.append(["PassOn", rpc.id, cache])
+            going.append((now + chance.uniform(5.0, 400.0), rpc))
+        elif rpc.answer in ("exhausted", "errored"):
+            said.append(["NotNow" if rpc.answer == "exhausted" else "Surrender", rpc.id])
+
+    going: list[tuple] = []
+    for number in range(2000):
+        now, key, method = number * 5.0, chance.randrange(40), chance.choice(["read", "save"])
+        pairs = f"c={method},t=acme,d=700".encode()
+        fields = words.rpc_fields([b"C.GET", b"%x" % key, b"1", pairs], plain.policy.methods, {"acme"})
+        write, until = method == "save", now + fields["patience"]
+        rpc = Rpc(f"{number:016x}", method, "acme", fields["key"], write, now, until)
+        act(rpc, plain.pick(now, rpc))
+        wired.knock(now, rpc.id, method, round(until * 1e6), 4 * write, "acme", None, None, key)
+        for due in [due for due in going if due[0] <= now]:
+            going.remove(due)
+            rc, outcome = chance.choice([(0, "completed")] * 9 + [(13, "error"), (8, "full")])
+            attempt = len(due[1].sent) - 1
+            wired.reply(now, due[1].id, attempt, due[1].sent[-1].cache, rc, 40_000_000, rc == 0, 1, None)
+            act(due[1], plain.report(now, due[1], attempt, outcome, 40.0, "hit"))
+        while (moved := plain.woken(now)) is not None:
+            act(*moved)
+        wired.timeoutfired(now, 0)
+        plain.tick(now)
+        wired.settle(now)
+    told = [[line[0], *line[2:4]] for line in map(json.loads, out)
+            if line[0] in ("PassOn", "NotNow", "Surrender")]
+    assert [line[:len(want)] for line, want in zip(told, said, strict=True)] == said
+    assert len(said) > 2000 and len({line[0] for line in said}) == 2
+
+
+@pytest.mark.parametrize("change,said", [
+    ({"listen": "nowhere"}, "no address"), ({"settings": {}}, "settings is missing"),
+    ({"seed": "xyz"}, "invalid"), ({"settings": {"methods": [{"name": "read"}]}}, "repeats is missing"),
+    ({"known": {"endpoints": 5}}, "no list"), ({"limits": {"sockets": 5}}, "sockets is under 64"),
+    (None, "PROXY_CONFIG is missing")])
+def test_a_wrong_configuration_is_one_line(tmp_path: Path, change: dict | None, said: str) -> None:
+    node = {"name": "n0", "listen": "127.0.0.1:1", "discovery": "127.0.0.1:2", "seed": "1f",
+            "settings": SETTINGS}
+    path = tmp_path / "node.json"
+    path.write_text(json.dumps(node | (change or {})))
+    told = {name: value for name, value in os.environ.items() if not name.startswith("PROXY_")}
+    told |= {"PROXY_CONFIG": str(path)} if change else {}
+    ended = subprocess.run([sys.executable, "-m", "calicofall", "serve"], env=told, capture_output=True,
+                           text=True, timeout=30)
+    assert ended.returncode != 0 and said in ended.stderr and ended.stderr.count("\n") == 1
