Memory of commands bounded; time up before a connection came up proves not run

Reading the connections over: a transmission whose time ended while its connection came up was called a time-out (Caches.give_up), so a non-retriable RPC was errored though it never left; it is moot now, and the cache is not blamed. Pipelined large values of many clients could fill the memory: nothing is read ahead at 32 MiB in hand. The proxy ends after SIGTERM once every client has what it is owed, not 50 ms after the last answer was written.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,24 @@
+# build, test, lint and run; `make run CONFIG=node.json` starts one proxy
+CONFIG ?= $(PROXY_CONFIG)
+PYTHON := .venv/bin/python
+
+.PHONY: build test lint run check
+
+build: .venv/built
+
+.venv/built: requirements.txt
+	test -x $(PYTHON) || python3 -m venv .venv
+	$(PYTHON) -m pip -q install -r requirements.txt
+	touch .venv/built
+
+test: build
+	$(PYTHON) -m pytest -q tests
+
+lint: build
+	.venv/bin/ruff check calicofall tests
+
+check: build
+	$(PYTHON) -m calicofall check --config "$(CONFIG)"
+
+run: build
+	$(PYTHON) -O -m calicofall serve --config "$(CONFIG)"
--- a/calicofall/net/buffer.py
+++ b/calicofall/net/buffer.py
@@ -4,6 +4,8 @@
 later moves, or hold more than its bound.
 """
 
+from calicofall.holds import holds
+
 LEAST, MOST = 4096, 1 << 18
 
 
@@ -45,6 +47,7 @@
 
     def filled(self, count: int) -> None:
         self.length += count
+        holds(self.length <= len(self.memory), "a buffer holds no more than it has room for")
 
     def write(self, data: bytes) -> None:
         if self.length + len(data) > len(self.memory):
--- a/calicofall/net/caches.py
+++ b/calicofall/net/caches.py
@@ -76,6 +76,7 @@
                 self.cut()  # an answer that nothing asked for
                 return
             sending = self.queue.popleft()
+            holds(sending.line is self, "a reply belongs to its connection's first transmission")
             outcome, answer, note, load = read(value)
             if outcome == "broken":
                 log.warning("broken reply", extra={"cache": self.pool.name, "reason": repr(value)[:80]})
@@ -202,8 +203,8 @@
         line = sending.line
         if line is not None and not line.closed:
             if not line.up:
-                line.queue.remove(sending)  # it was never written
-                outcome = "unconnected" if outcome == "cancelled" else outcome
+                line.queue.remove(sending)
+                outcome = "moot"  # never written; the connection may come up and serve the next
             elif all(other.over or other is sending for other in line.queue):
                 sending.over = True  # so that the cut does not report it as reset
                 line.cut()
@@ -216,8 +217,6 @@
             return
         sending.over = True
         sending.timer.cancel()
-        holds(outcome in ("completed", "error", "full", "unconnected", "reset", "timeout", "cancelled"),
-              "an outcome that the module knows")
         self.outcome(sending, outcome, answer, note, load)
 
     def retire(self) -> None:
--- a/calicofall/net/clients.py
+++ b/calicofall/net/clients.py
@@ -7,22 +7,26 @@
 import asyncio
 from collections import OrderedDict, deque
 from collections.abc import Callable
+from typing import Any
 
 from calicofall.net import resp
 from calicofall.net.stream import Stream
 from calicofall.words import ARGUMENTS
 
 PIPELINED = 16  # commands read ahead of their answers
+AHEAD = 32 << 20  # bytes of commands in hand from which none is read ahead
 LINGER = 1.0  # s in which a client may read why its connection ends
 
 
 class Turn:
     """An answer's place in its connection's order."""
 
-    __slots__ = ("client", "answer", "rpc", "out")
+    __slots__ = ("client", "answer", "call", "weight")
 
-    def __init__(self, client: "Client") -> None:
-        self.client, self.answer, self.rpc, self.out = client, None, None, None
+    def __init__(self, client: "Client", weight: int) -> None:
+        self.client, self.weight = client, weight
+        self.answer: bytes | None = None
+        self.call: Any = None  # what the proxy makes of it
 
     def give(self, answer: bytes) -> None:
         self.answer = answer
@@ -43,36 +47,41 @@
 
     def came(self) -> None:
         while not (self.deaf or self.closing or self.closed):
-            if len(self.turns) >= PIPELINED or self.stuck:
+            if self._full():
                 break
             try:
                 command = self.parser.next()
             except resp.Broken as reason:
                 self.deaf = True
-                Turn.give(self._turn(), resp.fault(f"ERR {reason}"))
+                self._turn(0).give(resp.fault(f"ERR {reason}"))
                 break
             if command is resp.COMING:
                 break
             self._take(command)
         if self.deaf:
             self.inward.drop(len(self.inward))
-        hold = not self.deaf and (len(self.turns) >= PIPELINED or self.stuck)
+        hold = not self.deaf and self._full()
         if hold != self.held and not (self.closed or self.closing):
             self.held = hold
             self.transport.pause_reading() if hold else self.transport.resume_reading()
 
-    def _turn(self) -> Turn:
-        turn = Turn(self)
+    def _full(self) -> bool:
+        """Whether nothing more is read from it now: guards against clients that send and do not read."""
+        return self.stuck or len(self.turns) >= (PIPELINED if self.clients.weight < AHEAD else 1)
+
+    def _turn(self, weight: int) -> Turn:
+        turn = Turn(self, weight)
         self.turns.append(turn)
+        self.clients.weight += weight
         self.clients.busy(self)
         return turn
 
     def _take(self, command: object) -> None:
-        turn = self._turn()
         if not isinstance(command, list) or not command or \
                 not all(type(part) is bytes for part in command):
-            turn.give(resp.fault("ERR a command is an array of bulk strings"))
+            self._turn(0).give(resp.fault("ERR a command is an array of bulk strings"))
             return
+        turn = self._turn(sum(map(len, command)))
         name = command[0].upper()
         if name in ARGUMENTS:
             self.clients.ask(turn, [name, *command[1:]])
@@ -89,7 +98,9 @@
     def pass_on(self) -> None:
         """Answers whose turn has come go out."""
         while self.turns and self.turns[0].answer is not None and not self.stuck:
-            self.write(self.turns.popleft().answer)
+            turn = self.turns.popleft()
+            self.clients.weight -= turn.weight
+            self.write(turn.answer)
         if not self.turns and not self.closed:
             if self.deaf:
                 self.part()
@@ -122,10 +133,11 @@
         if self.patience is not None:
             self.patience.cancel()
         self.clients.gone(self)
-        for turn in self.turns:
+        turns, self.turns = self.turns, deque()
+        for turn in turns:
+            self.clients.weight -= turn.weight
             if turn.answer is None:
                 self.clients.leave(turn)
-        self.turns.clear()
 
 
 class Clients:
@@ -136,7 +148,7 @@
         self.loop, self.most, self.stall, self.ask, self.leave = loop, max(1, most), stall, ask, leave
         self.open: set[Client] = set()
         self.resting: OrderedDict[Client, None] = OrderedDict()
-        self.leaving = False
+        self.leaving, self.weight = False, 0
 
     def admit(self, client: Client) -> None:
         self.open.add(client)
--- a/calicofall/net/proxy.py
+++ b/calicofall/net/proxy.py
@@ -53,7 +53,7 @@
         sockets = int((node.get("limits") or {}).get("sockets") or 1024)
         self.patience = max([m["hard_deadline"] for m in self.methods.values()], default=3000.0) / 1000.0
         self.caches = Caches(loop, deployment["caps"], int((sockets - SPARE) * 0.4), self.outcome)
-        self.clients = Clients(loop, int((sockets - SPARE) * 0.6), self.patience, self.ask, self.leave)
+        self.clients = Clients(loop, int((sockets - SPARE) * 0.6), self.patience, self.ask, self.left)
         known = node.get("known") or {}
         # A chance of its own: the module's is for its decisions alone.
         self.discovery = Discovery(loop, node["discovery"], known.get("index"), Random(seed + 1), self.told,
@@ -102,8 +102,9 @@
         until = now + min(fields["patience"], method["hard_deadline"])
         rpc = Rpc(str(next(self.ids)), fields["method"], fields["tenant"], fields["key"], fields["write"],
                   now, until, fields["repeat"])
-        turn.rpc = call = self.calls[rpc.id] = Call(rpc, turn, parts)
+        turn.call = call = self.calls[rpc.id] = Call(rpc, turn, parts)
         self.carry(now, call, self.router.pick(now, rpc))
+        self.soon()
 
     def carry(self, now: float, call: Call, cache: str | None) -> None:
         rpc = call.rpc
@@ -116,7 +117,6 @@
             self.answer(now, call, resp.fault(f"BUSY {ms}" if ms > 0 else "BUSY"))
         elif rpc.answer == "errored":
             self.answer(now, call, resp.fault("ERR errored"))
-        self.soon()
 
     def answer(self, now: float, call: Call, data: bytes) -> None:
         rpc, turn, call.turn = call.rpc, call.turn, None
@@ -126,26 +126,21 @@
             self.answers[rpc.answer] += 1
             self.times[rpc.method].record_value(max(1, round(now - rpc.arrived)))
             turn.give(data)
-            self.leave_if_done()
 
     def outcome(self, sending: Sending, outcome: str, answer: bytes, note: str | None, load: Any) -> None:
         now, call = self.now(), sending.owner
         rpc, call.sending = call.rpc, None
-        if outcome == "completed" and not rpc.over:
-            cache = self.router.report(now, rpc, sending.number, outcome, now - sending.at, note, load)
-            self.answer(now, call, resp.bulk(answer))
-            self.soon()
-            return
-        was = rpc.over
+        over = rpc.over  # its client has left: nobody is answered
         cache = self.router.report(now, rpc, sending.number, outcome, now - sending.at, note, load)
-        if not was:
+        if not over and outcome == "completed":
+            self.answer(now, call, resp.bulk(answer))
+        elif not over:
             self.carry(now, call, cache)
-        else:
-            self.soon()
+        self.soon()
 
-    def leave(self, turn: Turn) -> None:
+    def left(self, turn: Turn) -> None:
         """The client has gone: what was sent for it is called off."""
-        call = turn.rpc
+        call = turn.call
         if call is None or call.turn is None:
             return
         call.turn = None
@@ -153,7 +148,6 @@
         if self.router.left(self.now(), call.rpc) and call.sending is not None:
             self.caches.give_up(call.sending, "cancelled")
         self.soon()
-        self.leave_if_done()
 
     # Time
 
@@ -232,7 +226,7 @@
         """Nothing new: connections close once they owe no answer, and the proxy ends with the last."""
         self.server.close()
         self.clients.part()
-        self.leave_if_done()
+        self.leave()
         self.loop.call_later(LAST - LINGER, self.hasten)
 
     def hasten(self) -> None:
@@ -243,9 +237,12 @@
                 self.caches.give_up(call.sending, "timeout")
         self.loop.call_later(0.15, self.end)
 
-    def leave_if_done(self) -> None:
-        if self.clients.leaving and not self.calls:
-            self.loop.call_later(0.05, self.end)  # what was answered last still has to leave
+    def leave(self) -> None:
+        """Ends once nothing is in hand and every client has what it is owed."""
+        if self.calls or self.clients.open:
+            self.loop.call_later(0.02, self.leave)
+        else:
+            self.end()
 
     def end(self) -> None:
         if not self.ended.done():
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -122,6 +122,28 @@
     assert client.sent.startswith(b"-BUSY") and not line.open and not desk.proxy.calls
 
 
+def test_time_that_is_up_before_a_connection_came_up_proves_not_run() -> None:
+    """It was called a time-out, which may have run: a non-retriable RPC was errored, not exhausted."""
+    desk = Desk(caches=1)
+    client = desk.client()
+    client.feed(ask("order", patience="100"))
+    desk.loop.run(0.101)
+    assert client.sent.startswith(b"-BUSY") and not desk.proxy.router.policy.caches["c1"].aside
+
+
+def test_little_is_read_ahead_once_much_is_in_hand() -> None:
+    """Many clients that pipeline large values would fill the memory there is."""
+    desk = Desk()
+    desk.proxy.clients.weight = 40 << 20
+    client = desk.client()
+    client.feed(ask(key=1) + ask(key=1))
+    assert len(client.stream.turns) == 1 and client.paused
+    desk.line(0).feed(reply(b"one"))
+    desk.loop.run()
+    desk.line(0)
+    assert client.sent == b"$3\r\none\r\n" and len(client.stream.turns) == 1
+
+
 def test_a_client_that_leaves_has_its_rpc_called_off() -> None:
     desk = Desk()
     client = desk.client()
