Connections that moved, stand at the cap or hold unsent bytes; a fault in a decision is errored

Seen by reading the connections over, each with a test that failed before: - a connection busy while its cache's address changed went back to rest at the old one (Line.rest); - at the cap over all caches, a cache without a connection was reported as not to be reached: the longest resting goes now; - an RPC given up while its bytes lay behind a full socket could still be sent after its answer (Caches.give_up); - an exception in a decision left its RPC without an answer: it is errored and logged.

--- a/calicofall/net/caches.py
+++ b/calicofall/net/caches.py
@@ -9,6 +9,7 @@
 import logging
 from collections import deque
 from collections.abc import Callable
+from math import inf
 from typing import Any
 
 from calicofall import words
@@ -38,7 +39,7 @@
 
     def __init__(self, pool: "Pool") -> None:
         super().__init__()
-        self.pool = pool
+        self.pool, self.place = pool, pool.address
         self.parser = resp.Parser(self.inward)
         self.queue: deque[Sending] = deque()
         self.up = False
@@ -89,11 +90,16 @@
             self.pool.caches.done(sending, outcome, answer, note, load)
 
     def rest(self) -> None:
-        if self.pool.wanted:
+        # Guards against a cache that drains, or whose name has moved to another address meanwhile.
+        if self.pool.wanted and self.place == self.pool.address:
             self.idle_since = self.pool.caches.loop.time()
         else:
             self.cut()
 
+    @property
+    def rests(self) -> bool:
+        return self.up and not self.queue
+
     def proven(self, sending: Sending) -> bool:
         """Whether its last byte has not left: it has not run."""
         return not self.up or sending.end > self.handed
@@ -129,26 +135,28 @@
 
     def line(self) -> Line | None:
         """The connection for the next transmission: one that rests, a new one, or the least busy."""
-        resting = [line for line in self.lines if line.up and not line.queue and not line.closing]
+        resting = [line for line in self.lines if line.rests]
         if resting:
             return max(resting, key=lambda line: line.idle_since)
-        if len(self.lines) < self.caches.each and self.caches.count() < self.caches.most:
-            return self._open()
-        usable = [line for line in self.lines if len(line.queue) < self.caches.streams and not line.closing]
+        if len(self.lines) < self.caches.each and self.caches.room():
+            line = Line(self)
+            self.lines.add(line)
+            self.caches.open(self.caches.loop, line, self.address, self.caches.dial)
+            return line
+        usable = [line for line in self.lines
+                  if len(line.queue) < self.caches.streams and line.place == self.address]
         return min(usable, key=lambda line: len(line.queue), default=None)
 
-    def _open(self) -> Line:
-        line = Line(self)
-        self.lines.add(line)
-        self.caches.open(self.caches.loop, line, self.address, self.caches.dial)
-        return line
-
     def release(self) -> None:
         """Close what rests; what is still to be written is not sent."""
         for line in list(self.lines):
             if not line.queue or not line.up:
                 line.cut()
 
+    def cut_resting(self, since: float = inf) -> None:
+        for line in [line for line in self.lines if line.rests and line.idle_since < since]:
+            line.cut()
+
 
 class Caches:
     def __init__(self, loop: asyncio.AbstractEventLoop, caps: dict, most: int, outcome: Callable) -> None:
@@ -163,6 +171,14 @@
     def count(self) -> int:
         return sum(len(pool.lines) for pool in self.pools.values())
 
+    def room(self) -> bool:
+        """Whether one more connection may be opened: the one that rested longest goes for it, if need be."""
+        if self.count() >= self.most:
+            resting = [line for pool in self.pools.values() for line in pool.lines if line.rests]
+            if resting:
+                min(resting, key=lambda line: line.idle_since).cut()
+        return self.count() < self.most
+
     def listed(self, kind: str, entries: list[tuple], addresses: dict[str, str]) -> None:
         """The list as the module has it, too: where each cache is, and whether it is wanted."""
         if kind != "delta":
@@ -197,7 +213,7 @@
         return sending
 
     def give_up(self, sending: Sending, outcome: str) -> None:
-        """Stop waiting: the connection is closed, unless others wait on it."""
+        """Stop waiting: the connection is closed, unless all of it has left and others wait there."""
         if sending.over:
             return
         line = sending.line
@@ -205,7 +221,8 @@
             if not line.up:
                 line.queue.remove(sending)
                 outcome = "moot"  # never written; the connection may come up and serve the next
-            elif all(other.over or other is sending for other in line.queue):
+            elif line.proven(sending) or all(other.over or other is sending for other in line.queue):
+                # Nothing of it may leave from here on, so what still lies in the buffer goes with the rest.
                 sending.over = True  # so that the cut does not report it as reset
                 line.cut()
                 sending.over = False
@@ -223,14 +240,11 @@
         """Close connections before the caches do: what is written to a closed one may have run."""
         oldest = self.loop.time() - self.keep
         for pool in self.pools.values():
-            for line in [line for line in pool.lines if line.up and not line.queue]:
-                if line.idle_since < oldest:
-                    line.cut()
+            pool.cut_resting(oldest)
 
     def close_idle(self, name: str) -> None:
-        for line in [line for line in self.pools[name].lines if line.up and not line.queue] \
-                if name in self.pools else []:
-            line.cut()
+        if name in self.pools:
+            self.pools[name].cut_resting()
 
     def close(self) -> None:
         for pool in self.pools.values():
--- a/calicofall/net/proxy.py
+++ b/calicofall/net/proxy.py
@@ -9,6 +9,7 @@
 import logging
 import signal
 import time
+from collections.abc import Callable
 from itertools import count
 from random import Random
 from typing import Any
@@ -103,9 +104,18 @@
         rpc = Rpc(str(next(self.ids)), fields["method"], fields["tenant"], fields["key"], fields["write"],
                   now, until, fields["repeat"])
         turn.call = call = self.calls[rpc.id] = Call(rpc, turn, parts)
-        self.carry(now, call, self.router.pick(now, rpc))
+        self.carry(now, call, self.decide(call, self.router.pick, now, rpc))
         self.soon()
 
+    @staticmethod
+    def decide(call: Call, ask: Callable, *values: Any) -> str | None:
+        try:
+            return ask(*values)
+        except Exception as reason:  # guards against a fault in the decisions leaving RPCs without an answer
+            log.exception("decision failed", extra={"reason": repr(reason), "method": call.rpc.method})
+            call.rpc.over, call.rpc.answer = True, "errored"
+            return None
+
     def carry(self, now: float, call: Call, cache: str | None) -> None:
         rpc = call.rpc
         if cache is not None:
@@ -131,7 +141,8 @@
         now, call = self.now(), sending.owner
         rpc, call.sending = call.rpc, None
         over = rpc.over  # its client has left: nobody is answered
-        cache = self.router.report(now, rpc, sending.number, outcome, now - sending.at, note, load)
+        cache = self.decide(call, self.router.report, now, rpc, sending.number, outcome, now - sending.at,
+                            note, load)
         if not over and outcome == "completed":
             self.answer(now, call, resp.bulk(answer))
         elif not over:
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -220,6 +220,10 @@
     assert not line.open
     client.feed(ask())
     assert desk.loop.opened[-1][1] == ("10.9.9.9", 7000)
+    line = desk.line()
+    desk.list(endpoint("c1", address="10.9.9.10:7000"))
+    line.feed(reply())
+    assert not line.open  # what was out is finished, and nothing more goes to the old address
 
 
 def test_connections_are_capped_within_the_descriptors() -> None:
@@ -236,6 +240,38 @@
     assert not any(client.open for client in resting)
 
 
+def test_a_resting_connection_goes_for_one_that_is_needed() -> None:
+    """At the cap a healthy cache without a connection looked like one that could not be reached."""
+    desk = Desk(caches=2)
+    desk.proxy.caches.most = 1
+    keys = {desk.proxy.router.policy._ranking(key)[0].name: key for key in range(20)}
+    client = desk.client()
+    for key in keys.values():
+        client.feed(ask(key=key))
+        desk.line().feed(reply(b"fresh"))
+    assert client.sent == b"$5\r\nfresh\r\n" * 2 and desk.proxy.caches.count() == 1
+
+
+def test_nothing_leaves_for_an_rpc_whose_time_is_up() -> None:
+    """Its bytes lay behind a full socket, and would have gone to the cache after the final answer."""
+    desk = Desk(caches=1)
+    desk.proxy.caches.each = 1
+    client, other = desk.client(), desk.client()
+    client.feed(ask("save", value=bytes(50_000)))
+    line = desk.line(room=100)
+    other.feed(ask(patience="100"))
+    desk.loop.run(0.2)
+    assert other.sent.startswith(b"-BUSY") and not line.open
+
+
+def test_a_fault_in_the_decisions_is_an_errored_rpc() -> None:
+    desk = Desk()
+    client = desk.client()
+    desk.proxy.router.policy.where = lambda now, rpc: 1 // 0
+    client.feed(ask())
+    assert client.sent == b"-ERR errored\r\n" and client.open and not desk.proxy.calls
+
+
 def test_a_client_that_does_not_read_is_cut_in_the_end() -> None:
     desk = Desk()
     client = desk.client(room=1000)
