--- a/calicofall/net/caches.py
+++ b/calicofall/net/caches.py
@@ -17,6 +17,8 @@
 from calicofall.net import resp
 from calicofall.net.stream import Stream, connect
 
+EACH = 2  # connections to a cache that answers: as many RPCs as the module has there before it spills
+SPARES = 6  # further ones beside those that wait for an answer past its time
 EARLIER = 0.9  # of the time after which a cache closes an idle connection, when ours is retired
 log = logging.getLogger("calicofall")
 
@@ -42,7 +44,7 @@
         self.pool, self.place = pool, pool.address
         self.parser = resp.Parser(self.inward)
         self.queue: deque[Sending] = deque()
-        self.up = False
+        self.up = self.late = False  # late: an answer is overdue, and nothing has come since
         self.idle_since = 0.0
 
     def opened(self) -> None:
@@ -78,6 +80,7 @@
                 return
             sending = self.queue.popleft()
             holds(sending.line is self, "a reply belongs to its connection's first transmission")
+            self.late = False
             outcome, answer, note, load = read(value)
             if outcome == "broken":
                 log.warning("broken reply", extra={"cache": self.pool.name, "reason": repr(value)[:80]})
@@ -105,7 +108,7 @@
         return not self.up or sending.end > self.handed
 
     def lost(self) -> None:
-        self.pool.lines.discard(self)
+        self.pool.lines.pop(self, None)
         queue, self.queue = self.queue, deque()
         for sending in queue:
             self.pool.caches.done(sending, "unconnected" if self.proven(sending) else "reset")
@@ -130,7 +133,7 @@
     def __init__(self, caches: "Caches", name: str) -> None:
         self.caches, self.name = caches, name
         self.address: tuple[str, int] | None = None
-        self.lines: set[Line] = set()
+        self.lines: dict[Line, None] = {}  # in the order they were opened
         self.wanted = True  # neither draining nor gone
 
     def line(self) -> Line | None:
@@ -138,12 +141,16 @@
         resting = [line for line in self.lines if line.rests]
         if resting:
             return max(resting, key=lambda line: line.idle_since)
-        if len(self.lines) < self.caches.each and self.caches.room():
+        # Guards against a silent machine, whose open connections would take RPC after RPC to their time-out,
+        # while a new one that does not come up proves each not run.
+        prompt = [line for line in self.lines if not line.late]
+        each = self.caches.each
+        if len(prompt) < each and len(self.lines) < each + SPARES and self.caches.room():
             line = Line(self)
-            self.lines.add(line)
+            self.lines[line] = None
             self.caches.open(self.caches.loop, line, self.address, self.caches.dial)
             return line
-        usable = [line for line in self.lines
+        usable = [line for line in prompt or self.lines
                   if len(line.queue) < self.caches.streams and line.place == self.address]
         return min(usable, key=lambda line: len(line.queue), default=None)
 
@@ -199,7 +206,7 @@
                 pool.release()
                 if not pool.lines:
                     del self.pools[name]
-        self.each = max(1, min(32, self.most // max(1, len(self.pools))))
+        self.each = max(1, min(EACH, self.most // max(1, len(self.pools))))
 
     def send(self, name: str, owner: Any, number: int, data: bytes, now: float, time_out: float) -> Sending:
         sending = Sending(owner, number, data, now)
@@ -226,6 +233,8 @@
                 sending.over = True  # so that the cut does not report it as reset
                 line.cut()
                 sending.over = False
+            else:
+                line.late = line.late or outcome == "timeout"
         self.done(sending, outcome)
 
     def done(self, sending: Sending, outcome: str, answer: bytes = b"", note: str | None = None,
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -176,6 +176,12 @@
                             "settings": SETTINGS | settings}, self.loop)
         self.proxy.caches.open = self.proxy.discovery.open = self.loop.open
 
+    def spacious(self) -> "Desk":
+        """The module's limits are far off."""
+        for limit in (self.proxy.router.policy.fleet, self.proxy.router.policy.origin):
+            limit.value, limit.spare = 1000.0, 2_000_000.0
+        return self
+
     def client(self, room: int | None = None) -> Wire:
         return Wire(Client(self.proxy.clients), room)
 
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -113,6 +113,25 @@
     assert other.sent == b"$5\r\nfresh\r\n" and not client.sent
 
 
+def test_a_connection_whose_answer_is_overdue_takes_nothing_new() -> None:
+    """A silent machine's open connections held RPC after RPC; a new one that fails proves them not run."""
+    desk = Desk(caches=1).spacious()
+    clients = [desk.client() for _ in range(5)]
+    for client, patience in zip(clients[:4], ("100", "100", "900", "900"), strict=True):
+        client.feed(ask(patience=patience))
+    first, second = desk.line(0), desk.line(1)
+    assert len(desk.loop.opened) == 2  # two in hand have one each, the others share
+    desk.loop.run(0.2)
+    assert first.open and second.open
+    desk.proxy.router.policy.caches["c1"].clear()
+    clients[4].feed(ask(patience="300"))
+    assert len(desk.loop.opened) == 3
+    first.feed(reply(b"late") + reply(b"fresh"))  # it speaks again
+    assert clients[2].sent == b"$5\r\nfresh\r\n" and first.open
+    clients[0].feed(ask())
+    assert len(desk.loop.opened) == 3
+
+
 def test_a_transmission_given_up_closes_its_connection() -> None:
     desk = Desk()
     client = desk.client()
@@ -227,9 +246,7 @@
 
 
 def test_connections_are_capped_within_the_descriptors() -> None:
-    desk = Desk(caches=2, sockets=64)  # six for caches, nine for clients
-    for limit in (desk.proxy.router.policy.fleet, desk.proxy.router.policy.origin):
-        limit.value, limit.spare = 1000.0, 2_000_000.0
+    desk = Desk(caches=2, sockets=64).spacious()  # six for caches, nine for clients
     clients = [desk.client() for _ in range(9)]
     for number, client in enumerate(clients):
         client.feed(ask(key=number) + ask(key=number + 100))
