SIGTERM answers what clients sent ahead; a lost watch says why; results on sockets

Read over: while a proxy leaves, a connection was closed after the last answer it owed even where whole commands had been read from it beyond those taken (Client.pass_on). It is closed once nothing of it is left. A watch that could not be opened was logged as closed; the line now has the system's reason.

--- a/calicofall/net/clients.py
+++ b/calicofall/net/clients.py
@@ -104,10 +104,10 @@
         if not self.turns and not self.closed:
             if self.deaf:
                 self.part()
-            elif self.clients.leaving:
-                self.close()
-            else:
+            elif not self.clients.leaving:
                 self.clients.idle(self)
+            elif not len(self.inward):  # what has come is taken, and still answered
+                self.close()
         if self.held:
             self.clients.loop.call_soon(self.came)
 
--- a/calicofall/net/discovery.py
+++ b/calicofall/net/discovery.py
@@ -30,7 +30,6 @@
         self.discovery = discovery
         self.stage, self.left, self.line, self.chunked = "status", 0, bytearray(), False
         self.heard = discovery.loop.time()
-        self.why = "closed"
 
     def opened(self) -> None:
         since = f"&since={self.discovery.since}" if self.discovery.since is not None else ""
--- a/calicofall/net/stream.py
+++ b/calicofall/net/stream.py
@@ -21,6 +21,7 @@
         self.inward, self.outward = RingBuffer(), RingBuffer()
         self.transport: asyncio.Transport | None = None
         self.stuck = self.closed = self.closing = False
+        self.why = "closed"  # what ended it
         self.written = self.handed = 0  # bytes put into the outward buffer; of these, given to the transport
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -128,7 +129,8 @@
         if not stream.closed:
             await loop.create_connection(lambda: stream, sock=plug)
             return
-    except (OSError, TimeoutError):  # refused, silent, or no descriptor left
+    except (OSError, TimeoutError) as reason:  # refused, silent, or no descriptor left
+        stream.why = getattr(reason, "strerror", None) or "does not come up"
         stream.cut()
     if plug is not None:
         plug.close()
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -315,6 +315,22 @@
     assert desk.proxy.ended.done()
 
 
+def test_sigterm_loses_nothing_that_a_client_sent_ahead() -> None:
+    """A connection closed after the answer it owed, with whole commands already read from it."""
+    desk = Desk().spacious()
+    desk.proxy.server = type("Server", (), {"close": lambda self: None})()
+    client = desk.client()
+    client.feed(b"".join(ask(key=1) for _ in range(18)))  # two more than are read ahead
+    desk.proxy.part()
+    for number in range(20):
+        for opened in range(len(desk.loop.opened)):
+            stream = desk.loop.opened[opened][0]
+            line = stream.transport or desk.line(opened)
+            line.feed(reply(b"%d" % number) * len(stream.queue))
+        desk.loop.run()
+    assert client.sent.count(b"$") == 18 and not client.open
+
+
 def test_sigterm_answers_what_cannot_finish_before_the_kill() -> None:
     desk = Desk(methods=[SETTINGS["methods"][0] | {"hardDeadlineNs": 9_000_000_000}])
     desk.proxy.server = type("Server", (), {"close": lambda self: None})()
