--- a/calicofall/net/caches.py
+++ b/calicofall/net/caches.py
@@ -144,16 +144,30 @@
         # Guards against a silent machine, whose open connections would take RPC after RPC to their time-out,
         # while a new one that does not come up proves each not run.
         prompt = [line for line in self.lines if not line.late]
-        each = self.caches.each
-        if len(prompt) < each and len(self.lines) < each + SPARES and self.caches.room():
-            line = Line(self)
-            self.lines[line] = None
-            self.caches.open(self.caches.loop, line, self.address, self.caches.dial)
+        if len(prompt) < self.caches.each and (line := self.more()) is not None:
             return line
         usable = [line for line in prompt or self.lines
                   if len(line.queue) < self.caches.streams and line.place == self.address]
         return min(usable, key=lambda line: len(line.queue), default=None)
 
+    def more(self) -> Line | None:
+        """One more connection, if there is room for it."""
+        if len(self.lines) >= self.caches.each + SPARES or not self.caches.room():
+            return None
+        line = Line(self)
+        self.lines[line] = None
+        self.caches.open(self.caches.loop, line, self.address, self.caches.dial)
+        return line
+
+    def warm(self) -> None:
+        """Opens ahead what will be needed.
+
+        Guards against RPCs that wait for a handshake, which a busy cache does behind its other work.
+        """
+        while self.caches.ahead and self.wanted and self.address is not None and \
+                sum(not line.late for line in self.lines) < self.caches.each and self.more() is not None:
+            pass
+
     def release(self) -> None:
         """Close what rests; what is still to be written is not sent."""
         for line in list(self.lines):
@@ -166,12 +180,14 @@
 
 
 class Caches:
-    def __init__(self, loop: asyncio.AbstractEventLoop, caps: dict, most: int, outcome: Callable) -> None:
+    def __init__(self, loop: asyncio.AbstractEventLoop, caps: dict, most: int, ahead: bool,
+                 outcome: Callable) -> None:
         self.loop, self.most, self.outcome = loop, max(1, most), outcome
         self.streams = max(1, int(caps.get("streams_per_conn") or 1))
         self.dial = (caps.get("dial_timeout") or 1000.0) / 1000.0
         self.keep = (caps.get("conn_idle") or 30_000.0) / 1000.0 * EARLIER
         self.pools: dict[str, Pool] = {}
+        self.ahead = ahead  # connections are opened before they are needed
         self.open = connect
         self.each = self.most
 
@@ -207,6 +223,8 @@
                 if not pool.lines:
                     del self.pools[name]
         self.each = max(1, min(EACH, self.most // max(1, len(self.pools))))
+        for pool in self.pools.values():
+            pool.warm()
 
     def send(self, name: str, owner: Any, number: int, data: bytes, now: float, time_out: float) -> Sending:
         sending = Sending(owner, number, data, now)
@@ -232,6 +250,7 @@
                 # Nothing of it may leave from here on, so what still lies in the buffer goes with the rest.
                 sending.over = True  # so that the cut does not report it as reset
                 line.cut()
+                line.pool.warm()
                 sending.over = False
             else:
                 line.late = line.late or outcome == "timeout"
--- a/calicofall/net/proxy.py
+++ b/calicofall/net/proxy.py
@@ -25,6 +25,7 @@
 from calicofall.net.discovery import Discovery
 from calicofall.rpc import Rpc
 
+FEW = 16  # proxies up to which connections are opened ahead
 SPARE = 48  # descriptors that are neither clients' nor caches'
 LINGER = 0.5  # s after SIGTERM in which new connections still come
 LAST = 3.45  # s after SIGTERM at which what is still in hand is given up
@@ -53,7 +54,9 @@
         self.router = Router(deployment, seed, self.now())
         sockets = int((node.get("limits") or {}).get("sockets") or 1024)
         self.patience = max([m["hard_deadline"] for m in self.methods.values()], default=3000.0) / 1000.0
-        self.caches = Caches(loop, deployment["caps"], int((sockets - SPARE) * 0.4), self.outcome)
+        # Hundreds of proxies would hold connections to every cache that each of them uses once a minute.
+        ahead = (deployment.get("proxies") or 1) <= FEW
+        self.caches = Caches(loop, deployment["caps"], int((sockets - SPARE) * 0.4), ahead, self.outcome)
         self.clients = Clients(loop, int((sockets - SPARE) * 0.6), self.patience, self.ask, self.left)
         known = node.get("known") or {}
         # A chance of its own: the module's is for its decisions alone.
