Read over: a look after a wait goes through pick, guarded like the others; twins merged

An RPC whose wait had ended was looked at inside the facade's woken(), outside the guard that makes a fault in the decisions an errored RPC; woken() now names the RPC and the callers pick() again, so one path is guarded. A test that failed before.

--- a/calicofall/__main__.py
+++ b/calicofall/__main__.py
@@ -14,7 +14,7 @@
 
 from calicofall import __version__, words
 
-TOLD = ("PROXY_NAME", "PROXY_LISTEN", "PROXY_DISCOVERY", "PROXY_CONFIG")
+TOLD = ("PROXY_NAME", "PROXY_LISTEN", "PROXY_DISCOVERY")
 
 
 def configuration(path: str | None) -> dict[str, Any]:
@@ -27,7 +27,7 @@
             node = orjson.loads(file.read())
         if not isinstance(node, dict):
             raise ValueError("not an object")
-        node |= {name[6:].lower(): os.environ[name] for name in TOLD[:3] if os.environ.get(name)}
+        node |= {name[6:].lower(): os.environ[name] for name in TOLD if os.environ.get(name)}
         for name in ("name", "listen", "discovery", "seed", "settings"):
             if not node.get(name):
                 raise ValueError(f"{name} is missing")
@@ -41,7 +41,7 @@
             for part in ("name", "repeats", "window", "soft_deadline", "hard_deadline"):
                 method[part]
         deployment["rules"], deployment["caps"]
-        if int((node.get("limits") or {}).get("sockets") or 1024) < 64:
+        if words.sockets(node) < 64:
             raise ValueError("limits.sockets is under 64")
     except OSError as reason:
         raise click.ClickException(f"{path}: {reason.strerror}") from None
--- a/calicofall/benchlink/host.py
+++ b/calicofall/benchlink/host.py
@@ -70,8 +70,8 @@
 
     def timeoutfired(self, now: float, _ctx: int) -> None:
         self.tick_at = float("inf")
-        while (moved := self.router.woken(now)) is not None:
-            self.act(*moved)
+        while (rpc := self.router.woken(now)) is not None:
+            self.act(rpc, self.router.pick(now, rpc))
 
     def probedone(self, now: float, node: str, took: int, rc: int, _stats: Any) -> None:
         self.router.probed(now, node, rc == 0, took / NS)
--- a/calicofall/facade.py
+++ b/calicofall/facade.py
@@ -24,7 +24,7 @@
         self.chores: list[tuple] = []  # ("close", cache), ("follow",) and the like, for the caller
 
     def pick(self, now: float, rpc: Rpc) -> str | None:
-        """Takes an RPC in hand: the cache to send it to now."""
+        """Takes an RPC in hand, or looks again at one whose wait has ended: the cache to send it to now."""
         self.hand[rpc.id] = rpc
         return self._carry(now, rpc, self.policy.where(now, rpc))
 
@@ -49,12 +49,12 @@
         self._drop(rpc)
         return off
 
-    def woken(self, now: float) -> tuple[Rpc, str | None] | None:
-        """The first RPC whose wait has ended, and the cache it goes to now."""
+    def woken(self, now: float) -> Rpc | None:
+        """The first RPC whose wait has ended: to be picked for again."""
         while self.waits and self.waits[0][0] <= now + SLACK:
             rpc = heappop(self.waits)[2]
             if not rpc.over:
-                return rpc, self._carry(now, rpc, self.policy.where(now, rpc))
+                return rpc
         return None
 
     def tick(self, now: float) -> float:
--- a/calicofall/net/buffer.py
+++ b/calicofall/net/buffer.py
@@ -57,7 +57,7 @@
             room = self.free()
             part = min(len(room), len(data) - done)
             room[:part] = data[done:done + part]
-            self.length += part
+            self.filled(part)
             done += part
 
     def peek(self, count: int, skip: int = 0) -> bytes:
--- a/calicofall/net/caches.py
+++ b/calicofall/net/caches.py
@@ -70,24 +70,19 @@
         while not self.closed:
             try:
                 value = self.parser.next()
+                if value is resp.COMING:
+                    return
+                if not self.queue:
+                    self.cut()  # an answer that nothing asked for
+                    return
+                outcome, answer, note, load = read(value)
             except resp.Broken as reason:
                 log.warning("broken reply", extra={"cache": self.pool.name, "reason": str(reason)})
                 self.cut()
                 return
-            if value is resp.COMING:
-                return
-            if not self.queue:
-                self.cut()  # an answer that nothing asked for
-                return
             sending = self.queue.popleft()
             holds(sending.line is self, "a reply belongs to its connection's first transmission")
             self.late = False
-            outcome, answer, note, load = read(value)
-            if outcome == "broken":
-                log.warning("broken reply", extra={"cache": self.pool.name, "reason": repr(value)[:80]})
-                self.queue.appendleft(sending)
-                self.cut()
-                return
             if not self.queue:
                 self.rest()
             # What is over by now was given up: its reply is read past, and matched to nothing.
@@ -125,7 +120,7 @@
     if isinstance(value, list) and len(value) == 3 and isinstance(value[0], bytes):
         note = words.NOTES.get(value[1]) if isinstance(value[1], bytes) else None
         return "completed", value[0], note, words.report(value[2])
-    return "broken", b"", None, None
+    raise resp.Broken(repr(value)[:80])
 
 
 class Pool:
@@ -251,10 +246,9 @@
                 outcome = "moot"  # never written; the connection may come up and serve the next
             elif line.proven(sending) or all(other.over or other is sending for other in line.queue):
                 # Nothing of it may leave from here on, so what still lies in the buffer goes with the rest.
-                sending.over = True  # so that the cut does not report it as reset
+                line.queue.remove(sending)  # so that the cut does not report it as reset
                 line.cut()
                 line.pool.warm()
-                sending.over = False
             else:
                 line.late = line.late or outcome == "timeout"
         self.done(sending, outcome)
--- a/calicofall/net/proxy.py
+++ b/calicofall/net/proxy.py
@@ -53,7 +53,7 @@
         self.asks = deployment.get("discovery") == "ask"
         seed = words.seed(node["seed"])
         self.router = Router(deployment, seed, self.now())
-        sockets = int((node.get("limits") or {}).get("sockets") or 1024)
+        sockets = words.sockets(node)
         self.patience = max([m["hard_deadline"] for m in self.methods.values()], default=3000.0) / 1000.0
         # Hundreds of proxies would hold connections to every cache that each of them uses once a minute.
         ahead = (deployment.get("proxies") or 1) <= FEW
@@ -176,11 +176,11 @@
 
     def tick(self) -> None:
         self.ticking, now = None, self.now()
-        while (moved := self.router.woken(now)) is not None:
-            call = self.calls.get(moved[0].id)
+        while (rpc := self.router.woken(now)) is not None:
+            call = self.calls.get(rpc.id)
             holds(call is not None, "an RPC that waits has a call")
             if call is not None:
-                self.carry(now, call, moved[1])
+                self.carry(now, call, self.decide(call, self.router.pick, now, rpc))
         wait = self.router.tick(now)
         for line in self.router.lines:
             log.info("mode", extra={"what": line})
@@ -231,11 +231,9 @@
         log.error("trouble", extra={"what": context.get("message"), "reason": repr(reason)}, exc_info=trace)
 
     def terminate(self) -> None:
-        if self.clients.leaving or self.server is None:
-            return
         log.info("draining", extra={"calls": len(self.calls), "clients": len(self.clients.open)})
-        self.loop.remove_signal_handler(signal.SIGTERM)
-        self.loop.add_signal_handler(signal.SIGTERM, lambda: None)
+        for name in (signal.SIGTERM, signal.SIGINT):  # once is enough
+            self.loop.add_signal_handler(name, lambda: None)
         self.loop.call_later(LINGER, self.part)
 
     def part(self) -> None:
--- a/calicofall/words.py
+++ b/calicofall/words.py
@@ -41,6 +41,11 @@
     return text if isinstance(text, int) else int(text, 16)
 
 
+def sockets(node: dict) -> int:
+    """How many descriptors a configuration allows."""
+    return int((node.get("limits") or {}).get("sockets") or 1024)
+
+
 def listing(message: Any) -> tuple[str, int | None, list[tuple], dict[str, str]]:
     """A list or its changes: kind, version, entries as the module takes them, addresses by name."""
     try:
@@ -69,7 +74,7 @@
     return host, int(port)
 
 
-def rpc_fields(parts: list[bytes], methods: dict, tenants: dict) -> dict[str, Any]:
+def rpc_fields(parts: list[bytes], methods: dict, tenants: set[str]) -> dict[str, Any]:
     """What a client's command asks for: method, tenant, key, write, patience (ms), repeat."""
     if len(parts) != ARGUMENTS[parts[0]]:
         raise ValueError("wrong number of arguments")
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -174,6 +174,7 @@
         self.proxy = Proxy({"name": "n0", "listen": "10.0.0.4:6379", "discovery": "10.2.0.1:8500",
                             "seed": "8c1f30d27a5be964", "known": known, "limits": {"sockets": sockets},
                             "settings": SETTINGS | settings}, self.loop, self.loop.open)
+        self.proxy.server = type("Server", (), {"close": lambda self: None})()
         if not ahead:  # most tests look at one connection
             self.proxy.caches.ahead = False
             self.proxy.caches.close()
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -306,6 +306,18 @@
     assert client.sent == b"-ERR errored\r\n" and client.open and not desk.proxy.calls
 
 
+def test_a_fault_in_the_decisions_after_a_wait_is_an_errored_rpc() -> None:
+    """Only first looks and outcomes were guarded: an RPC that had waited was left without an answer."""
+    desk = Desk()
+    client = desk.client()
+    desk.proxy.router.policy.where = lambda now, rpc: ("wait", 15.0)
+    client.feed(ask())
+    desk.loop.run(0.01)
+    desk.proxy.router.policy.where = lambda now, rpc: 1 // 0
+    desk.loop.run(0.01)
+    assert client.sent == b"-ERR errored\r\n" and client.open and not desk.proxy.calls
+
+
 def test_a_client_that_does_not_read_is_cut_in_the_end() -> None:
     desk = Desk()
     client = desk.client(room=1000)
@@ -320,7 +332,6 @@
 
 def test_sigterm_lets_all_in_hand_finish() -> None:
     desk = Desk()
-    desk.proxy.server = type("Server", (), {"close": lambda self: None})()
     busy, idle = desk.client(), desk.client()
     busy.feed(ask(patience="2000"))
     line = desk.line()
@@ -335,7 +346,6 @@
 def test_sigterm_loses_nothing_that_a_client_sent_ahead() -> None:
     """A connection closed after the answer it owed, with whole commands already read from it."""
     desk = Desk().spacious()
-    desk.proxy.server = type("Server", (), {"close": lambda self: None})()
     client = desk.client()
     client.feed(b"".join(ask(key=1) for _ in range(18)))  # two more than are read ahead
     desk.proxy.part()
@@ -350,7 +360,6 @@
 
 def test_sigterm_answers_what_cannot_finish_before_the_kill() -> None:
     desk = Desk(methods=[SETTINGS["methods"][0] | {"hardDeadlineNs": 9_000_000_000}])
-    desk.proxy.server = type("Server", (), {"close": lambda self: None})()
     client = desk.client()
     client.feed(ask(patience="9000"))
     desk.line()
@@ -431,8 +440,8 @@
             attempt = len(due[1].sent) - 1
             wired.reply(now, due[1].id, attempt, due[1].sent[-1].cache, rc, 40_000_000, rc == 0, 1, None)
             act(due[1], plain.report(now, due[1], attempt, outcome, 40.0, "hit"))
-        while (moved := plain.woken(now)) is not None:
-            act(*moved)
+        while (woken := plain.woken(now)) is not None:
+            act(woken, plain.pick(now, woken))
         wired.timeoutfired(now, 0)
         plain.tick(now)
         wired.settle(now)
