SIGHUP rereads the configuration and moves the watch; connections and RPCs are kept

Checked: proxy.py serve() took SIGTERM and SIGINT only, so the default action ended the process. __main__.py configuration() put PROXY_DISCOVERY before the file, so a reread would have named the agent of the start for good. Discovery had no way to change its agent; its next try after a loss was a timer that nobody could call off. Ruled out: versions carried over. They are an agent's own, so the whole list is asked for at the new one. A file that cannot be read changes nothing and is one line. What needs a restart is named in the line.

--- a/calicofall/__main__.py
+++ b/calicofall/__main__.py
@@ -17,8 +17,11 @@
 TOLD = ("PROXY_NAME", "PROXY_LISTEN", "PROXY_DISCOVERY")
 
 
-def configuration(path: str | None) -> dict[str, Any]:
-    """What PROXY_CONFIG's file says, with PROXY_NAME, PROXY_LISTEN and PROXY_DISCOVERY before it."""
+def configuration(path: str | None, again: bool = False) -> dict[str, Any]:
+    """What PROXY_CONFIG's file says, with PROXY_NAME, PROXY_LISTEN and PROXY_DISCOVERY before it.
+
+    Read again, the file goes before them: they tell what held at the start.
+    """
     path = path or os.environ.get("PROXY_CONFIG")
     if not path:
         raise click.ClickException("PROXY_CONFIG is missing: the configuration's path")
@@ -27,7 +30,8 @@
             node = orjson.loads(file.read())
         if not isinstance(node, dict):
             raise ValueError("not an object")
-        node |= {name[6:].lower(): os.environ[name] for name in TOLD if os.environ.get(name)}
+        told = {name[6:].lower(): os.environ[name] for name in TOLD if os.environ.get(name)}
+        node = told | node if again else node | told
         for name in ("name", "listen", "discovery", "seed", "settings"):
             if not node.get(name):
                 raise ValueError(f"{name} is missing")
@@ -74,7 +78,7 @@
     logs.start(log_level)
 
     async def run() -> None:
-        await Proxy(node, asyncio.get_running_loop()).serve()
+        await Proxy(node, asyncio.get_running_loop()).serve(lambda: configuration(config, again=True))
 
     try:
         asyncio.run(run())
--- a/calicofall/net/discovery.py
+++ b/calicofall/net/discovery.py
@@ -114,6 +114,7 @@
         self.host, self.place, self.since = address, words.place(address), since
         self.watch: Watch | None = None
         self.pause = 0.0  # s before the next try
+        self.again: asyncio.TimerHandle | None = None  # the next try
         self.stopped = self.down = False
 
     def start(self) -> None:
@@ -140,7 +141,7 @@
         self.since = index if isinstance(index, int) else self.since
 
     def lost(self, watch: Watch) -> None:
-        if self.stopped:
+        if self.stopped or watch is not self.watch:  # guards against two watches after a move
             return
         if not self.down:
             self.down = True
@@ -148,7 +149,18 @@
         self.failed()
         # Guards against all proxies asking again at one time.
         self.pause = min(1.0, self.pause * 2 or 0.05)
-        self.loop.call_later(self.pause * self.chance.uniform(0.5, 1.5), self.start)
+        self.again = self.loop.call_later(self.pause * self.chance.uniform(0.5, 1.5), self.start)
+
+    def move(self, address: str) -> None:
+        """Another agent from here on. Its versions are its own: the whole list is asked for, ours holds."""
+        if address != self.host:
+            self.host, self.place, self.since, self.pause = address, words.place(address), None, 0.0
+            watch, self.watch = self.watch, None
+            if watch is not None:
+                watch.cut()
+            if self.again is not None:
+                self.again.cancel()
+            self.start()
 
     def stop(self) -> None:
         self.stopped = True
--- a/calicofall/net/proxy.py
+++ b/calicofall/net/proxy.py
@@ -201,8 +201,9 @@
 
     # Start and end
 
-    async def serve(self) -> None:
+    async def serve(self, reread: Callable) -> None:
         host, port = words.place(self.node["listen"])
+        self.loop.add_signal_handler(signal.SIGHUP, self.reload, reread)
         self.loop.set_exception_handler(self.trouble)
         self.discovery.start()
         self.upkeep()
@@ -225,6 +226,19 @@
                     f"p{part}": times.get_value_at_percentile(part) for part in (50, 90, 99)}})
         log.info("stopped", extra=self.answers | {"broken": dict(broken) or None})
 
+    def reload(self, reread: Callable) -> None:
+        """SIGHUP: the watch moves, all else goes on. A file that cannot be read changes nothing."""
+        try:
+            node = reread()
+        except Exception as reason:  # guards against a proxy that ends, or half changes, for a bad file
+            log.warning("configuration kept", extra={"reason": str(reason)})
+            return
+        held = [name for name in ("name", "listen", "limits", "settings")
+                if node.get(name) != self.node.get(name)]
+        self.discovery.move(node["discovery"])
+        log.info("configuration reread", extra={"discovery": node["discovery"],
+                                                "until_restart": ",".join(held) or None})
+
     def trouble(self, loop: asyncio.AbstractEventLoop, context: dict) -> None:
         reason = context.get("exception")
         trace = reason if isinstance(reason, Exception) and not isinstance(reason, OSError) else None
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -159,6 +159,8 @@
     "rules": {"startCapacity": 0.2, "coldNs": 20_000_000_000, "fallMultiple": 3.0, "fallNs": 3_000_000_000,
               "drainGraceNs": 250_000_000, "askEveryNs": 10_000_000_000, "answerSlackNs": 20_000_000}}
 
+HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+
 
 def endpoint(name: str, status: str = "SERVING", address: str | None = None) -> dict:
     return {"name": name, "address": address or f"10.1.0.{name[1:]}:6379", "zone": "a", "type": "box",
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -3,7 +3,7 @@
 from random import Random
 
 import pytest
-from helpers import Loop, Wire, endpoint
+from helpers import HEAD, Loop, Wire, endpoint
 
 from calicofall import words
 from calicofall.net import resp
@@ -113,7 +113,6 @@
         words.rpc_fields([b"C.GET", key, b"1", pairs, *more], METHODS, TENANTS)
 
 
-HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 LINE = (b'{"index":%d,"snapshot":true,"endpoints":'
         b'[{"name":"c1","address":"10.1.0.1:6379","status":"SERVING"}]}\n')
 
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -8,9 +8,10 @@
 from random import Random
 
 import pytest
-from helpers import SETTINGS, Desk, ask, endpoint, reply
+from helpers import HEAD, SETTINGS, Desk, ask, endpoint, reply
 
 from calicofall import words
+from calicofall.__main__ import configuration
 from calicofall.benchlink import host
 from calicofall.facade import Router
 from calicofall.net import resp
@@ -368,6 +369,43 @@
     assert client.sent.startswith(b"-BUSY") and not desk.proxy.calls
 
 
+def test_sighup_moves_the_watch_and_keeps_all_else() -> None:
+    """The proxy ended on SIGHUP; and PROXY_DISCOVERY would have named the agent of the start for good."""
+    desk = Desk()
+    client = desk.client()
+    client.feed(ask())
+    line = desk.line()
+    desk.proxy.discovery.start()
+    old = desk.line()
+    old.feed(HEAD + b"1\r\n\n\r\n")
+    node = desk.proxy.node | {"discovery": "10.2.0.9:8500"}
+    desk.proxy.reload(lambda: 1 // 0)
+    assert old.open and len(desk.loop.opened) == 2  # an unreadable file changes nothing
+    desk.proxy.reload(lambda: node)
+    assert not old.open and desk.loop.opened[-1][1] == ("10.2.0.9", 8500) and line.open and client.open
+    new = desk.line()
+    assert b"since=" not in new.sent  # versions are an agent's own
+    listed = json.dumps({"index": 1, "snapshot": True, "endpoints": [endpoint("c1")]}).encode() + b"\n"
+    new.feed(HEAD + b"%x\r\n%b\r\n" % (len(listed), listed))
+    assert sum(pool.wanted for pool in desk.proxy.caches.pools.values()) == 1
+    line.feed(reply(b"kept"))
+    assert client.sent == b"$4\r\nkept\r\n"
+    desk.loop.run(2.0)
+    assert len(desk.loop.opened) == 3  # one watch, not one for each that ended
+    desk.proxy.reload(lambda: node)
+    assert new.open and len(desk.loop.opened) == 3  # the same agent is not asked anew
+
+
+def test_a_configuration_read_again_goes_before_what_was_told_at_the_start(
+        tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    path = tmp_path / "node.json"
+    path.write_text(json.dumps({"name": "n0", "listen": "127.0.0.1:1", "discovery": "127.0.0.1:3",
+                                "seed": "1f", "settings": SETTINGS}))
+    monkeypatch.setenv("PROXY_DISCOVERY", "127.0.0.1:2")
+    assert configuration(str(path))["discovery"] == "127.0.0.1:2"
+    assert configuration(str(path), again=True)["discovery"] == "127.0.0.1:3"
+
+
 @pytest.mark.parametrize("seed", range(4))
 def test_every_rpc_has_one_answer_on_generated_days(seed: int) -> None:
     """Caches answer, turn away, break, say nothing, leave the list; clients leave; nothing is lost."""
