Spoilt answers are seen at once and blame nobody; silent clients go; one budget of descriptors

At fault: caches.py Line.came (a spoilt answer cut as if the cache had died; lines that could be none were awaited to their end; a copy that lay unread was matched to the next RPC); clients.py part() read 60 MB for a second after refusing it; words.py took keys such as 0x7, no id, names twice; nobody looked after half a command or a connection without a byte; asyncio's server took 512 connections in one turn. Ruled out: CPU (0.33 of a core at most in any second), memory (19 of 80 MB).

--- a/calicofall/net/caches.py
+++ b/calicofall/net/caches.py
@@ -10,6 +10,7 @@
 from collections import deque
 from collections.abc import Callable
 from math import inf
+from select import POLLIN, poll
 from typing import Any
 
 from calicofall import words
@@ -20,6 +21,9 @@
 EACH = 32  # connections to a cache at most
 READY = 2  # of these, kept at rest or coming up beside those in use
 SPARES = 6  # further ones beside those that wait for an answer past its time
+STALL = 0.1  # s in which the rest of an answer comes that has begun
+SETTLE = 0.002  # s that a connection rests before it is the first to be used again
+SELDOM = 10.0  # s between two lines about spoilt answers
 EARLIER = 0.9  # of the time after which a cache closes an idle connection, when ours is retired
 log = logging.getLogger("calicofall")
 
@@ -43,13 +47,19 @@
     def __init__(self, pool: "Pool") -> None:
         super().__init__()
         self.pool, self.place = pool, pool.address
-        self.parser = resp.Parser(self.inward)
+        self.parser = resp.Replies(self.inward)
         self.queue: deque[Sending] = deque()
+        self.spoilt = False  # what came is no answer: what waits here has failed and may have run
+        self.moved, self.watcher = 0.0, None  # when an answer that is not whole grew last; who looks after it
+        self.eye: poll | None = None
         self.up = self.late = False  # late: an answer is overdue, and nothing has come since
         self.idle_since = 0.0
 
     def opened(self) -> None:
         self.up = True
+        if (plug := self.transport.get_extra_info("socket")) is not None:
+            self.eye = poll()
+            self.eye.register(plug.fileno(), POLLIN)
         for sending in self.queue:
             self._put(sending)
         if not self.queue:
@@ -68,25 +78,52 @@
 
     def came(self) -> None:
         while not self.closed:
+            if not self.queue:
+                if len(self.inward):
+                    self.cut()  # more than belongs to an answer
+                return
             try:
                 value = self.parser.next()
-                if value is resp.COMING:
-                    return
-                if not self.queue:
-                    self.cut()  # an answer that nothing asked for
-                    return
-                outcome, answer, note, load = read(value)
             except resp.Broken as reason:
-                log.warning("broken reply", extra={"cache": self.pool.name, "reason": str(reason)})
-                self.cut()
+                self.spoil(str(reason))
                 return
-            sending = self.queue.popleft()
-            holds(sending.line is self, "a reply belongs to its connection's first transmission")
-            self.late = False
-            if not self.queue:
-                self.rest()
-            # What is over by now was given up: its reply is read past, and matched to nothing.
-            self.pool.caches.done(sending, outcome, answer, note, load)
+            if value is resp.COMING:
+                self.moved = self.pool.caches.loop.time()
+                if self.watcher is None and self.parser.midway():
+                    self.watcher = self.pool.caches.loop.call_later(STALL, self.look)
+                return
+            self.answered(value)
+
+    def answered(self, value: resp.Value) -> None:
+        sending = self.queue.popleft()
+        holds(sending.line is self, "a reply belongs to its connection's first transmission")
+        self.late = False
+        if not self.queue:
+            self.rest()
+        # What is over by now was given up: its reply is read past, and matched to nothing.
+        self.pool.caches.done(sending, *read(value))
+
+    def look(self) -> None:
+        """Guards against answers that begin and do not end, which were waited for until time was up."""
+        self.watcher = None
+        if self.closed or not self.parser.midway():
+            return
+        left = self.moved + STALL - self.pool.caches.loop.time()
+        if left > 0.0:
+            self.watcher = self.pool.caches.loop.call_later(left, self.look)
+        else:
+            self.spoil("an answer that does not end")
+
+    def spoil(self, reason: str) -> None:
+        """What came is no answer, and nothing more of use will come."""
+        self.spoilt = True
+        if self.parser.all_but_report() is None:
+            self.pool.caches.tell(self.pool.name, reason)
+        self.cut()
+
+    def clean(self) -> bool:
+        """Guards against a copy of the last answer, or a close, that lies unread before the next is sent."""
+        return self.eye is None or not self.eye.poll(0)
 
     def rest(self) -> None:
         # Guards against a cache that drains, or whose name has moved to another address meanwhile.
@@ -106,21 +143,21 @@
     def lost(self) -> None:
         self.pool.lines.pop(self, None)
         queue, self.queue = self.queue, deque()
+        if self.watcher is not None:
+            self.watcher.cancel()
+        value = self.parser.all_but_report()
+        if value is not None and queue:  # it lacks its load report alone: a good answer
+            self.pool.caches.done(queue.popleft(), *read(value))
         for sending in queue:
-            self.pool.caches.done(sending, "unconnected" if self.proven(sending) else "reset")
+            may_have_run = "spoilt" if self.spoilt else "reset"
+            self.pool.caches.done(sending, "unconnected" if self.proven(sending) else may_have_run)
 
 
 def read(value: resp.Value) -> tuple[str, bytes, str | None, dict | None]:
     """A cache's reply: outcome, answer, note, load report."""
     if isinstance(value, resp.Fault):
-        kind = value.split(b" ")[0]
-        if kind not in (b"BUSY", b"ERR"):
-            log.warning("strange fault", extra={"reason": repr(bytes(value))[:80]})
-        return ("full" if kind == b"BUSY" else "error"), b"", None, None
-    if isinstance(value, list) and len(value) == 3 and isinstance(value[0], bytes):
-        note = words.NOTES.get(value[1]) if isinstance(value[1], bytes) else None
-        return "completed", value[0], note, words.report(value[2])
-    raise resp.Broken(repr(value)[:80])
+        return ("full" if value.split(b" ")[0] == b"BUSY" else "error"), b"", None, None
+    return "completed", value[0], words.NOTES.get(value[1]), words.report(value[2])
 
 
 class Pool:
@@ -134,9 +171,14 @@
 
     def line(self) -> Line | None:
         """The connection for the next transmission: one that rests, one that comes up, or the least busy."""
-        free = [line for line in self.lines if not line.queue]
-        if free:
-            return max(free, key=lambda line: (line.up, line.idle_since))
+        settled = self.caches.loop.time() - SETTLE
+        free = sorted((line for line in self.lines if not line.queue),
+                      key=lambda line: (line.up, line.idle_since <= settled, line.idle_since))
+        while free:
+            line = free.pop()
+            if not line.up or line.clean():
+                return line
+            line.cut()
         # Guards against a silent machine, whose open connections would take RPC after RPC to their time-out,
         # while a new one that does not come up proves each not run.
         prompt = [line for line in self.lines if not line.late]
@@ -186,7 +228,16 @@
         self.keep = (caps.get("conn_idle") or 30_000.0) / 1000.0 * EARLIER
         self.pools: dict[str, Pool] = {}
         self.ahead = ahead  # connections are opened before they are needed
+        self.crowded: Callable[[], bool] = lambda: True  # whether the budget that clients share has room
         self.each = self.most
+        self.spoilt, self.tell_at = 0, 0.0
+
+    def tell(self, name: str, reason: str) -> None:
+        """Few lines about many spoilt answers."""
+        self.spoilt += 1
+        if self.loop.time() >= self.tell_at:
+            log.warning("spoilt answers", extra={"count": self.spoilt, "cache": name, "reason": reason})
+            self.spoilt, self.tell_at = 0, self.loop.time() + SELDOM
 
     def count(self) -> int:
         return sum(len(pool.lines) for pool in self.pools.values())
@@ -197,7 +248,7 @@
             resting = [line for pool in self.pools.values() for line in pool.lines if line.rests]
             if resting:
                 min(resting, key=lambda line: line.idle_since).cut()
-        return self.count() < self.most
+        return self.count() < self.most and self.crowded()
 
     def listed(self, kind: str, entries: list[tuple], addresses: dict[str, str]) -> None:
         """The list as the module has it, too: where each cache is, and whether it is wanted."""
--- a/calicofall/net/clients.py
+++ b/calicofall/net/clients.py
@@ -1,7 +1,8 @@
 """Clients' connections: commands in, answers out, in the order of the commands.
 
-Owns each connection's answers that are still owed. Must never answer an RPC twice, keep an answer that a
-client does not read, or speak to a cache: what an RPC becomes is the proxy's to say.
+Owns each connection's answers that are still owed, and how long it may keep us waiting. Must never answer an
+RPC twice, keep an answer that a client does not read, wait without end for one that says nothing or half a
+command, or speak to a cache: what an RPC becomes is the proxy's to say.
 """
 
 import asyncio
@@ -14,8 +15,11 @@
 from calicofall.words import ARGUMENTS
 
 PIPELINED = 16  # commands read ahead of their answers
-AHEAD = 32 << 20  # bytes of commands in hand from which none is read ahead
-LINGER = 1.0  # s in which a client may read why its connection ends
+FAULTS = 8  # wrong commands one after the other that a connection may send
+LINGER = 0.25  # s in which a client may read why its connection ends
+FIRST = 2.1  # s in which a connection's first byte comes
+WHOLE = 2.0  # s in which a command comes whole
+FRESH = 0.25  # s in which a connection without a byte is not yet taken for one that says nothing
 
 
 class Turn:
@@ -40,34 +44,40 @@
         self.parser = resp.Parser(self.inward)
         self.turns: deque[Turn] = deque()
         self.held = self.deaf = False  # reading is paused; framing is lost
+        self.faults = 0  # wrong commands since the last right one
         self.patience: asyncio.TimerHandle | None = None
 
-    def opened(self) -> None:
-        self.clients.admit(self)
-
     def came(self) -> None:
+        self.clients.heard(self)
         while not (self.deaf or self.closing or self.closed):
             if self._full():
                 break
             try:
                 command = self.parser.next()
             except resp.Broken as reason:
-                self.deaf = True
-                self._turn(0).give(resp.fault(f"ERR {reason}"))
+                self.refuse(str(reason))
                 break
             if command is resp.COMING:
+                self.clients.half(self, self.parser.midway())
                 break
+            self.clients.half(self, False)
             self._take(command)
         if self.deaf:
             self.inward.drop(len(self.inward))
-        hold = not self.deaf and self._full()
+        hold = self.deaf or self._full()
         if hold != self.held and not (self.closed or self.closing):
             self.held = hold
             self.transport.pause_reading() if hold else self.transport.resume_reading()
 
+    def refuse(self, reason: str) -> None:
+        """Nothing more is read from it, and it closes once it has been told why."""
+        if not self.deaf:
+            self.deaf = True
+            self._turn(0).give(resp.fault(f"ERR {reason}"))
+
     def _full(self) -> bool:
         """Whether nothing more is read from it now: guards against clients that send and do not read."""
-        return self.stuck or len(self.turns) >= (PIPELINED if self.clients.weight < AHEAD else 1)
+        return self.stuck or len(self.turns) >= (PIPELINED if self.clients.weight < self.clients.ahead else 1)
 
     def _turn(self, weight: int) -> Turn:
         turn = Turn(self, weight)
@@ -79,7 +89,7 @@
     def _take(self, command: object) -> None:
         if not isinstance(command, list) or not command or \
                 not all(type(part) is bytes for part in command):
-            self._turn(0).give(resp.fault("ERR a command is an array of bulk strings"))
+            self.wrong(self._turn(0), "a command is an array of bulk strings")
             return
         turn = self._turn(sum(map(len, command)))
         name = command[0].upper()
@@ -88,12 +98,19 @@
         elif name == b"PING" and len(command) <= 2:
             turn.give(resp.bulk(command[1]) if len(command) == 2 else resp.word("PONG"))
         elif name == b"PING":
-            turn.give(resp.fault("ERR wrong number of arguments"))
+            self.wrong(turn, "wrong number of arguments")
         elif name == b"QUIT":
             self.deaf = True
             turn.give(resp.word("OK"))
         else:
-            turn.give(resp.fault("ERR unknown command"))
+            self.wrong(turn, "unknown command")
+
+    def wrong(self, turn: Turn, reason: str) -> None:
+        """A command that cannot be carried out. Guards against clients that send such ones without end."""
+        self.faults += 1
+        if self.faults >= FAULTS:
+            self.deaf = True
+        turn.give(resp.fault(f"ERR {reason}"))
 
     def pass_on(self) -> None:
         """Answers whose turn has come go out."""
@@ -108,7 +125,7 @@
                 self.clients.idle(self)
             elif not len(self.inward):  # what has come is taken, and still answered
                 self.close()
-        if self.held:
+        if self.held and not self.deaf:
             self.clients.loop.call_soon(self.came)
 
     def part(self) -> None:
@@ -141,36 +158,71 @@
 
 
 class Clients:
-    """All connections of clients, the longest idle first."""
+    """All connections of clients: those that never spoke, and those between RPCs, the longest idle first."""
 
-    def __init__(self, loop: asyncio.AbstractEventLoop, most: int, stall: float, ask: Callable,
+    def __init__(self, loop: asyncio.AbstractEventLoop, most: int, ahead: int, stall: float, ask: Callable,
                  leave: Callable) -> None:
         self.loop, self.most, self.stall, self.ask, self.leave = loop, max(1, most), stall, ask, leave
+        self.ahead = ahead  # bytes of commands in hand from which none is read ahead
         self.open: set[Client] = set()
-        self.resting: OrderedDict[Client, None] = OrderedDict()
+        self.silent: OrderedDict[Client, float] = OrderedDict()  # since when, as in the two below
+        self.resting: OrderedDict[Client, float] = OrderedDict()
+        self.halves: OrderedDict[Client, float] = OrderedDict()
         self.leaving, self.weight = False, 0
+        self.others: Callable[[], int] = lambda: 0  # connections that share the budget
 
-    def admit(self, client: Client) -> None:
+    def admit(self) -> Client:
+        client = Client(self)
         self.open.add(client)
-        if len(self.open) > self.most:
-            # Guards against running out of descriptors: one between RPCs may go, else the new one.
-            next(iter(self.resting), client).cut()
-        if not client.closed:
-            self.resting[client] = None
+        self.silent[client] = self.loop.time()
+        return client
+
+    def room(self) -> bool:
+        """Whether there is room for one more: one that never spoke goes for it, or the one idle longest."""
+        if len(self.open) + self.others() < self.most:
+            return True
+        early = self.loop.time() - FRESH
+        mute = next((client for client, since in self.silent.items() if since < early), None)
+        idle = mute or next(iter(self.resting), None) or next(iter(self.silent), None)
+        if idle is not None:
+            idle.cut()
+        return idle is not None
+
+    def heard(self, client: Client) -> None:
+        if self.silent.pop(client, None) is not None:
+            self.resting[client] = self.loop.time()
+
+    def half(self, client: Client, begun: bool) -> None:
+        """Whether a command has begun and not ended."""
+        if not begun:
+            self.halves.pop(client, None)
+        elif client not in self.halves:
+            self.halves[client] = self.loop.time()
+
+    def sweep(self) -> None:
+        """Guards against clients that hold connections without a byte, or with half a command, for good."""
+        now = self.loop.time()
+        for client in [client for client, since in self.silent.items() if since < now - FIRST]:
+            client.cut()
+        for client in [client for client, since in self.halves.items() if since < now - WHOLE]:
+            self.half(client, False)
+            client.refuse("a command that does not end")
+            client.came()
 
     def busy(self, client: Client) -> None:
         self.resting.pop(client, None)
 
     def idle(self, client: Client) -> None:
-        self.resting[client] = None
-        self.resting.move_to_end(client)
+        self.resting.pop(client, None)
+        self.resting[client] = self.loop.time()
 
     def gone(self, client: Client) -> None:
         self.open.discard(client)
-        self.resting.pop(client, None)
+        for kept in (self.silent, self.resting, self.halves):
+            kept.pop(client, None)
 
     def part(self) -> None:
         """Close each connection as soon as it owes no answer."""
         self.leaving = True
-        for client in list(self.resting):
+        for client in [*self.resting, *self.silent]:
             client.close()
--- a/calicofall/net/proxy.py
+++ b/calicofall/net/proxy.py
@@ -21,13 +21,15 @@
 from calicofall.holds import broken, holds
 from calicofall.net import resp
 from calicofall.net.caches import Caches, Sending
-from calicofall.net.clients import Client, Clients, Turn
+from calicofall.net.clients import Clients, Turn
 from calicofall.net.discovery import Discovery
-from calicofall.net.stream import connect
+from calicofall.net.stream import Door, connect
 from calicofall.rpc import Rpc
 
 FEW = 16  # proxies up to which connections are opened ahead
-SPARE = 48  # descriptors that are neither clients' nor caches'
+SPARE = 32  # descriptors that are neither clients' nor caches', or about to close
+BASE = 24  # MB that a proxy takes with nothing in hand
+OFTEN = 0.25  # s between two rounds of upkeep
 LINGER = 0.5  # s after SIGTERM in which new connections still come
 LAST = 3.45  # s after SIGTERM at which what is still in hand is given up
 log = logging.getLogger("calicofall")
@@ -59,18 +61,23 @@
         ahead = (deployment.get("proxies") or 1) <= FEW
         self.caches = Caches(loop, deployment["caps"], int((sockets - SPARE) * 0.4), ahead, open,
                              self.outcome)
-        self.clients = Clients(loop, int((sockets - SPARE) * 0.6), self.patience, self.ask, self.left)
+        # A command in hand, its way to a cache and its answer each take about as much again.
+        room = max(1, words.memory(node) - BASE) << 18
+        self.clients = Clients(loop, sockets - SPARE, room, self.patience, self.ask, self.left)
+        self.clients.others = self.caches.count
+        self.caches.crowded = self.clients.room
         known = node.get("known") or {}
         # A chance of its own: the module's is for its decisions alone.
         self.discovery = Discovery(loop, open, node["discovery"], known.get("index"), Random(seed + 1),
                                    self.told, self.unheard)
         self.calls: dict[str, Call] = {}
+        self.open: set[bytes] = set()  # the ids of RPCs in hand, as clients named them
         self.ids = count()
         self.ticking: asyncio.Handle | None = None
         self.tick_at = float("inf")
         self.times = {name: HdrHistogram(1, 60_000, 2) for name in self.methods}
         self.answers = dict.fromkeys(("completed", "exhausted", "errored"), 0)
-        self.server: asyncio.Server | None = None
+        self.door: Door | None = None
         self.ended = loop.create_future()
         if known:
             _, index, entries, addresses = words.listing(known)
@@ -100,9 +107,13 @@
     def ask(self, turn: Turn, parts: list[bytes]) -> None:
         try:
             fields = words.rpc_fields(parts, self.methods, self.tenants)
+            if parts[2] in self.open:  # guards against a second RPC that a cache would take for the first
+                raise ValueError("the id of an RPC in hand")
         except ValueError as reason:
-            turn.give(resp.fault(f"ERR {reason}"))
+            turn.client.wrong(turn, str(reason))
             return
+        turn.client.faults = 0
+        self.open.add(parts[2])
         now = self.now()
         method = self.methods[fields["method"]]
         until = now + min(fields["patience"], method["hard_deadline"])
@@ -136,7 +147,7 @@
     def answer(self, now: float, call: Call, data: bytes) -> None:
         rpc, turn, call.turn = call.rpc, call.turn, None
         holds(turn is not None, "an RPC gets one answer")
-        self.calls.pop(rpc.id, None)
+        self.over(call)
         if turn is not None:
             self.answers[rpc.answer] += 1
             self.times[rpc.method].record_value(max(1, round(now - rpc.arrived)))
@@ -154,13 +165,17 @@
             self.carry(now, call, cache)
         self.soon()
 
+    def over(self, call: Call) -> None:
+        if self.calls.pop(call.rpc.id, None) is not None:
+            self.open.discard(call.parts[2])
+
     def left(self, turn: Turn) -> None:
         """The client has gone: what was sent for it is called off."""
         call = turn.call
         if call is None or call.turn is None:
             return
         call.turn = None
-        self.calls.pop(call.rpc.id, None)
+        self.over(call)
         if self.router.left(self.now(), call.rpc) and call.sending is not None:
             self.caches.give_up(call.sending, "cancelled")
         self.soon()
@@ -196,13 +211,13 @@
 
     def upkeep(self) -> None:
         self.caches.retire()
+        self.clients.sweep()
         gc.collect(0)
-        self.loop.call_later(0.5, self.upkeep)
+        self.loop.call_later(OFTEN, self.upkeep)
 
     # Start and end
 
     async def serve(self, reread: Callable) -> None:
-        host, port = words.place(self.node["listen"])
         self.loop.add_signal_handler(signal.SIGHUP, self.reload, reread)
         self.loop.set_exception_handler(self.trouble)
         self.discovery.start()
@@ -212,7 +227,7 @@
         gc.collect()
         gc.freeze()
         gc.set_threshold(20_000, 50, 1000)
-        self.server = await self.loop.create_server(lambda: Client(self.clients), host, port, backlog=512)
+        self.door = Door(self.loop, words.place(self.node["listen"]), self.clients.room, self.clients.admit)
         self.loop.add_signal_handler(signal.SIGTERM, self.terminate)
         self.loop.add_signal_handler(signal.SIGINT, self.terminate)
         log.info("serving", extra={"proxy": self.node["name"], "listen": self.node["listen"],
@@ -252,7 +267,7 @@
 
     def part(self) -> None:
         """Nothing new: connections close once they owe no answer, and the proxy ends with the last."""
-        self.server.close()
+        self.door.close()
         self.clients.part()
         self.leave()
         self.loop.call_later(LAST - LINGER, self.hasten)
--- a/calicofall/net/resp.py
+++ b/calicofall/net/resp.py
@@ -1,15 +1,19 @@
-"""RESP2: a parser that reads values out of a ring buffer, and writers.
+"""RESP2: a parser of commands and one of caches' replies that read out of a ring buffer, and writers.
 
-Owns what it has read of a value that is not whole yet. Must never block, look beyond its buffer, or let a
-peer make it hold more than its bounds: what breaks them is Broken, and framing is lost.
+Owns what it has read of a value that is not whole yet. Must never block, look beyond its buffer, let a peer
+make it hold more than its bounds, or wait for more after a byte that no whole value can have there: what
+breaks that is Broken, and framing is lost.
 """
 
+import re
+
 from calicofall.net.buffer import RingBuffer
 
 LARGEST = 1 << 16  # bytes of a value
 LINE = 1024  # bytes of a line without a value
 WIDEST, DEEPEST, HEAVIEST = 32, 4, 3 << 16  # members of an array, arrays in arrays, bytes of a whole message
 DIGITS = frozenset(b"0123456789")
+KINDS = frozenset({b"$", b"*", b"+", b"-", b":"})
 
 
 class Broken(Exception):
@@ -92,6 +96,8 @@
             self.scanned = len(self.ring)
             if self.scanned > LINE:
                 raise Broken("a line too long")
+            if self.scanned and self.ring.peek(1) not in KINDS:  # guards against lines that never end
+                raise Broken("not RESP2")
             return None
         self.scanned = 0
         line = self.ring.take(end + 1)
@@ -100,6 +106,9 @@
         self._weigh(len(line))
         return line[:-2]
 
+    def midway(self) -> bool:
+        return bool(self.stack) or self.bulk >= 0 or len(self.ring) > 0
+
     def _weigh(self, count: int) -> None:
         self.weight += count
         if self.weight > HEAVIEST:
@@ -113,6 +122,61 @@
         return int(text)
 
 
+class Replies:
+    """A cache's replies: an array of a value, how it went or null, and a load report or null; or an error."""
+
+    HEAD = re.compile(rb"\*(3(\r\n?)?)?|-([A-Z][ -~]{0,200}(\r\n?)?)?")
+    SIZE = re.compile(rb"\$(-(1(\r\n?)?)?|[0-9]{1,6}(\r\n?)?)?")
+    LONGEST = 256
+
+    def __init__(self, ring: RingBuffer) -> None:
+        self.ring = ring
+        self.parts: list[bytes | None] | None = None  # of an array that is coming
+        self.size = -1  # of a bulk string that is coming
+
+    def next(self) -> Value | Coming:
+        """The next reply, whole."""
+        while True:
+            if self.size >= 0:
+                end = self.ring.peek(2, self.size) if len(self.ring) > self.size else b""
+                if not b"\r\n".startswith(end):
+                    raise Broken("a bulk string of another length than announced")
+                if len(end) < 2:
+                    return COMING
+                part = self.ring.take(self.size)
+                self.ring.drop(2)
+                self.size = -1
+            else:
+                line = self.ring.peek(self.LONGEST)
+                line = line[:line.find(b"\n") + 1] or line
+                if line and not (self.HEAD if self.parts is None else self.SIZE).fullmatch(line):
+                    raise Broken(f"no reply: {line[:20]!r}")
+                if line[-1:] != b"\n":
+                    return COMING
+                self.ring.drop(len(line))
+                if line[:1] == b"-":
+                    return Fault(line[1:-2])
+                if line[:1] == b"*":
+                    self.parts = []
+                    continue
+                part, self.size = None, int(line[1:])
+                if self.size > LARGEST or (self.size < 0 and not self.parts):
+                    raise Broken("too large" if self.size > 0 else "no value")
+                if self.size >= 0:
+                    continue
+            self.parts.append(part)
+            if len(self.parts) == 3:
+                value, self.parts = self.parts, None
+                return value
+
+    def midway(self) -> bool:
+        return self.parts is not None or len(self.ring) > 0
+
+    def all_but_report(self) -> list | None:
+        """A reply of which only the load report is missing."""
+        return [*self.parts, None] if self.parts is not None and len(self.parts) == 2 else None
+
+
 def bulk(value: bytes) -> bytes:
     return b"$%d\r\n%b\r\n" % (len(value), value)
 
--- a/calicofall/net/stream.py
+++ b/calicofall/net/stream.py
@@ -1,17 +1,23 @@
-"""What every connection has in common: a ring buffer a direction, and the bytes that have left.
+"""What every connection has in common: a ring buffer a direction, the bytes that have left; and the door.
 
-Owns both buffers and the transport. Must never hand the transport more while it holds some, so that what is
-still in the buffer is known not to have left, and must never let an exception out of a callback.
+Owns both buffers and the transport, and the socket that listens. Must never hand the transport more while it
+holds some, so that what is still in the buffer is known not to have left, take more connections than there
+is room for, or let an exception out of a callback.
 """
 
 import asyncio
+import errno
 import logging
 import socket
+from collections.abc import Callable
 from contextlib import suppress
 
 from calicofall.net.buffer import RingBuffer
 
 CHUNK = 1 << 16
+WAITING = 512  # connections that the system holds until they are taken
+A_TURN = 16  # taken in one turn of the loop
+BREATH = 0.05  # s until the next try where there was no room
 log = logging.getLogger("calicofall")
 opening: set[asyncio.Task] = set()  # connections that are coming up
 
@@ -22,6 +28,7 @@
         self.transport: asyncio.Transport | None = None
         self.stuck = self.closed = self.closing = False
         self.why = "closed"  # what ended it
+        self.rising: asyncio.Task | None = None  # while it comes up
         self.written = self.handed = 0  # bytes put into the outward buffer; of these, given to the transport
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -90,6 +97,8 @@
                 if plug is not None:
                     plug.shutdown(socket.SHUT_RDWR)
             self.transport.abort()
+        elif self.rising is not None:
+            self.rising.cancel()  # guards against descriptors held by connections that nobody waits for
         self.lost()
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -113,11 +122,62 @@
 
 def connect(loop: asyncio.AbstractEventLoop, stream: Stream, place: tuple[str, int], patience: float) -> None:
     """Opens a connection for a stream, which is cut if none comes up in time."""
-    task = loop.create_task(_connect(loop, stream, place, patience))
+    stream.rising = task = loop.create_task(_connect(loop, stream, place, patience))
     opening.add(task)
     task.add_done_callback(opening.discard)
 
 
+class Door:
+    """Takes connections, a few a turn, while there is room for one more.
+
+    Guards against asyncio's own server, which takes hundreds in one turn before any is seen, and at its last
+    descriptor says so hundreds of times and then takes nobody for a second.
+    """
+
+    def __init__(self, loop: asyncio.AbstractEventLoop, place: tuple[str, int], room: Callable[[], bool],
+                 make: Callable[[], Stream]) -> None:
+        self.loop, self.room, self.make = loop, room, make
+        self.plug = socket.create_server(place, backlog=WAITING)
+        self.plug.setblocking(False)
+        self.resume()
+
+    def resume(self) -> None:
+        if self.plug.fileno() >= 0:
+            self.loop.add_reader(self.plug.fileno(), self.come)
+
+    def come(self) -> None:
+        for _ in range(A_TURN):
+            try:
+                if not self.room():
+                    raise OSError(errno.EMFILE, "no room")
+                plug, _ = self.plug.accept()
+            except (BlockingIOError, InterruptedError, ConnectionAbortedError):
+                return
+            except OSError:  # no descriptor left: who waits there is taken later
+                self.loop.remove_reader(self.plug.fileno())
+                self.loop.call_later(BREATH, self.resume)
+                return
+            self._take(plug, self.make())
+
+    def _take(self, plug: socket.socket, stream: Stream) -> None:
+        async def rise() -> None:
+            try:
+                plug.setblocking(False)
+                await self.loop.connect_accepted_socket(lambda: stream, plug)
+            except OSError:
+                plug.close()
+                stream.cut()
+
+        task = self.loop.create_task(rise())
+        opening.add(task)
+        task.add_done_callback(opening.discard)
+
+    def close(self) -> None:
+        if self.plug.fileno() >= 0:
+            self.loop.remove_reader(self.plug.fileno())
+            self.plug.close()
+
+
 async def _connect(loop: asyncio.AbstractEventLoop, stream: Stream, place: tuple[str, int],
                    patience: float) -> None:
     plug = None
@@ -127,10 +187,13 @@
         async with asyncio.timeout(patience):
             await loop.sock_connect(plug, place)
         if not stream.closed:
+            stream.rising = None  # from here on the transport owns the socket
             await loop.create_connection(lambda: stream, sock=plug)
             return
     except (OSError, TimeoutError) as reason:  # refused, silent, or no descriptor left
         stream.why = getattr(reason, "strerror", None) or "does not come up"
+        stream.rising = None
         stream.cut()
-    if plug is not None:
-        plug.close()
+    finally:
+        if plug is not None and stream.transport is None:
+            plug.close()
--- a/calicofall/words.py
+++ b/calicofall/words.py
@@ -17,6 +17,8 @@
 STATES = {"SERVING": "ready", "DRAINING": "draining", "DELETED": "gone"}
 NOTES = {b"hit": "hit", b"miss": "fetched", b"pending": "fetching"}
 ARGUMENTS = {b"C.GET": 4, b"C.SET": 5}  # of the commands that are RPCs, how many with their own name
+HEX = re.compile(rb"[0-9a-fA-F]{1,16}")
+PAIRS = re.compile(rb"[a-z_]{1,16}=[!-+\--~]{1,64}(,[a-z_]{1,16}=[!-+\--~]{1,64}){0,15}")
 DIGITS = re.compile(rb"[0-9]{1,9}(\.[0-9]{1,6})?")
 
 
@@ -46,6 +48,11 @@
     return int((node.get("limits") or {}).get("sockets") or 1024)
 
 
+def memory(node: dict) -> int:
+    """How many MB a configuration allows."""
+    return int((node.get("limits") or {}).get("memory_mb") or 192)
+
+
 def listing(message: Any) -> tuple[str, int | None, list[tuple], dict[str, str]]:
     """A list or its changes: kind, version, entries as the module takes them, addresses by name."""
     try:
@@ -78,24 +85,27 @@
     """What a client's command asks for: method, tenant, key, write, patience (ms), repeat."""
     if len(parts) != ARGUMENTS[parts[0]]:
         raise ValueError("wrong number of arguments")
-    pairs = dict(pair.partition(b"=")[::2] for pair in parts[3].split(b","))
-    try:
-        method, tenant = pairs[b"c"].decode(), pairs[b"t"].decode() if b"t" in pairs else None
-        key = int(parts[1], 16)
-    except (KeyError, UnicodeDecodeError):
-        raise ValueError("no method named") from None
-    except ValueError:
-        raise ValueError("bad key") from None
+    if not PAIRS.fullmatch(parts[3]):
+        raise ValueError("what follows the id is no list of names and values")
+    listed = [pair.split(b"=", 1) for pair in parts[3].split(b",")]
+    pairs = dict(listed)
+    if len(pairs) < len(listed):
+        raise ValueError("a name given twice")
+    if not HEX.fullmatch(parts[1]):
+        raise ValueError("bad key")
+    if not HEX.fullmatch(parts[2]):
+        raise ValueError("bad id")
+    method, tenant = pairs.get(b"c", b"").decode(), pairs[b"t"].decode() if b"t" in pairs else None
     if method not in methods:
         raise ValueError("unknown method")
+    if methods[method].get("repeats") == "deduped" and not HEX.fullmatch(pairs.get(b"k", b"")):
+        raise ValueError("no k")
     if tenants and tenant not in tenants:
         raise ValueError("unknown tenant")
     patience = pairs.get(b"d", b"")
     if not DIGITS.fullmatch(patience) or float(patience) <= 0.0:
         raise ValueError("bad d")
-    if not 0 <= key < 1 << 64 or len(parts[1]) > 16:
-        raise ValueError("bad key")
-    return {"method": method, "tenant": tenant, "key": key, "write": parts[0] == b"C.SET",
+    return {"method": method, "tenant": tenant, "key": int(parts[1], 16), "write": parts[0] == b"C.SET",
             "patience": float(patience), "repeat": pairs.get(b"r") == b"1"}
 
 
