Values up to a megabyte pass; resets are no news of a cache; halves and answers count as memory

At fault: policy.py _learn (a reset was taken for a dead process), caches.py Pool.line (the connection that had answered last went first), resp.py LARGEST (64 KiB, as the protocol's page says). Ruled out: dead processes go unseen without resets. New connections to them are refused, which halves their part each.

--- a/calicofall/__main__.py
+++ b/calicofall/__main__.py
@@ -47,6 +47,8 @@
         deployment["rules"], deployment["caps"]
         if words.sockets(node) < 64:
             raise ValueError("limits.sockets is under 64")
+        if words.memory(node) < 32:
+            raise ValueError("limits.memory_mb is under 32")
     except OSError as reason:
         raise click.ClickException(f"{path}: {reason.strerror}") from None
     except (ValueError, TypeError, KeyError, AttributeError) as reason:
--- a/calicofall/net/buffer.py
+++ b/calicofall/net/buffer.py
@@ -6,7 +6,8 @@
 
 from calicofall.holds import holds
 
-LEAST, MOST = 4096, 1 << 18
+LEAST, MOST = 4096, 1 << 21
+AT_ONCE = 1 << 16  # reserved at most before it has come: a length that is only said costs no more
 
 
 class RingBuffer:
@@ -45,11 +46,16 @@
         end = (self.start + self.length) % size
         return self.view[end:self.start if end < self.start else size]
 
+    def reserve(self, count: int) -> None:
+        """Room for a value of so many bytes, so that it is read in few pieces."""
+        if min(count, AT_ONCE) > len(self.memory):
+            self._grow(min(count, AT_ONCE))
+
     def filled(self, count: int) -> None:
         self.length += count
         holds(self.length <= len(self.memory), "a buffer holds no more than it has room for")
 
-    def write(self, data: bytes) -> None:
+    def write(self, data: bytes | memoryview) -> None:
         if self.length + len(data) > len(self.memory):
             self._grow(self.length + len(data))
         done = 0
--- a/calicofall/net/caches.py
+++ b/calicofall/net/caches.py
@@ -22,7 +22,7 @@
 READY = 2  # of these, kept at rest or coming up beside those in use
 SPARES = 6  # further ones beside those that wait for an answer past its time
 STALL = 0.06  # s in which the rest of an answer comes that has begun
-SETTLE = 0.002  # s that a connection rests before it is the first to be used again
+SETTLE = 0.02  # s that a connection rests before it is used again first: some close behind an answer
 SELDOM = 10.0  # s between two lines about spoilt answers
 EARLIER = 0.9  # of the time after which a cache closes an idle connection, when ours is retired
 log = logging.getLogger("calicofall")
@@ -173,7 +173,7 @@
         """The connection for the next transmission: one that rests, one that comes up, or the least busy."""
         settled = self.caches.loop.time() - SETTLE
         free = sorted((line for line in self.lines if not line.queue),
-                      key=lambda line: (line.up, line.idle_since <= settled, line.idle_since))
+                      key=lambda line: (line.up, min(0.0, settled - line.idle_since), line.idle_since))
         while free:
             line = free.pop()
             if not line.up or line.clean():
--- a/calicofall/net/clients.py
+++ b/calicofall/net/clients.py
@@ -34,6 +34,8 @@
 
     def give(self, answer: bytes) -> None:
         self.answer = answer
+        self.weight += len(answer)  # until it goes out
+        self.client.clients.weight += len(answer)
         self.client.pass_on()
 
 
@@ -45,6 +47,7 @@
         self.turns: deque[Turn] = deque()
         self.held = self.deaf = False  # reading is paused; framing is lost
         self.faults = 0  # wrong commands since the last right one
+        self.halved = 0  # bytes of memory for a command that has begun and not ended
         self.patience: asyncio.TimerHandle | None = None
 
     def came(self) -> None:
@@ -168,7 +171,7 @@
         self.silent: OrderedDict[Client, float] = OrderedDict()  # since when, as in the two below
         self.resting: OrderedDict[Client, float] = OrderedDict()
         self.halves: OrderedDict[Client, float] = OrderedDict()
-        self.leaving, self.weight = False, 0
+        self.leaving, self.weight, self.halved = False, 0, 0
         self.others: Callable[[], int] = lambda: 0  # connections that share the budget
 
     def admit(self) -> Client:
@@ -194,10 +197,21 @@
 
     def half(self, client: Client, begun: bool) -> None:
         """Whether a command has begun and not ended."""
+        size = len(client.inward.memory) if begun else 0
+        self.halved += size - client.halved
+        client.halved = size
         if not begun:
             self.halves.pop(client, None)
         elif client not in self.halves:
             self.halves[client] = self.loop.time()
+        # Guards against many halves of large commands, which would fill the memory there is.
+        while self.halved > self.ahead and len(self.halves) > 1:
+            self.refuse(next(iter(self.halves)), "too much has come in halves")
+
+    def refuse(self, client: Client, reason: str) -> None:
+        self.half(client, False)
+        client.refuse(reason)
+        client.came()
 
     def sweep(self) -> None:
         """Guards against clients that hold connections without a byte, or with half a command, for good."""
@@ -205,9 +219,7 @@
         for client in [client for client, since in self.silent.items() if since < now - FIRST]:
             client.cut()
         for client in [client for client, since in self.halves.items() if since < now - WHOLE]:
-            self.half(client, False)
-            client.refuse("a command that does not end")
-            client.came()
+            self.refuse(client, "a command that does not end")
 
     def busy(self, client: Client) -> None:
         self.resting.pop(client, None)
@@ -217,9 +229,10 @@
         self.resting[client] = self.loop.time()
 
     def gone(self, client: Client) -> None:
+        self.half(client, False)
         self.open.discard(client)
-        for kept in (self.silent, self.resting, self.halves):
-            kept.pop(client, None)
+        self.silent.pop(client, None)
+        self.resting.pop(client, None)
 
     def part(self) -> None:
         """Close each connection as soon as it owes no answer."""
--- a/calicofall/net/resp.py
+++ b/calicofall/net/resp.py
@@ -9,9 +9,10 @@
 
 from calicofall.net.buffer import RingBuffer
 
-LARGEST = 1 << 16  # bytes of a value
+LARGEST = 1 << 20  # bytes of a value: sixteen times what the protocol's page says, since some days bring more
 LINE = 1024  # bytes of a line without a value
-WIDEST, DEEPEST, HEAVIEST = 32, 4, 3 << 16  # members of an array, arrays in arrays, bytes of a whole message
+WIDEST, DEEPEST = 32, 4  # members of an array, arrays in arrays
+HEAVIEST = LARGEST + (1 << 16)  # bytes of a whole message
 DIGITS = frozenset(b"0123456789")
 KINDS = frozenset({b"$", b"*", b"+", b"-", b":"})
 
@@ -64,6 +65,7 @@
                     if kind == b"$" and count >= 0:
                         self._weigh(count)
                         self.bulk = count
+                        self.ring.reserve(count + 2)
                         continue
                     if kind == b"*" and count > 0:
                         if len(self.stack) >= DEEPEST:
@@ -126,7 +128,7 @@
     """A cache's replies: an array of a value, how it went or null, and a load report or null; or an error."""
 
     HEAD = re.compile(rb"\*(3(\r\n?)?)?|-([A-Z][ -~]{0,200}(\r\n?)?)?")
-    SIZE = re.compile(rb"\$(-(1(\r\n?)?)?|[0-9]{1,6}(\r\n?)?)?")
+    SIZE = re.compile(rb"\$(-(1(\r\n?)?)?|[0-9]{1,7}(\r\n?)?)?")
     LONGEST = 256
 
     def __init__(self, ring: RingBuffer) -> None:
@@ -163,6 +165,7 @@
                 if self.size > LARGEST or (self.size < 0 and not self.parts):
                     raise Broken("too large" if self.size > 0 else "no value")
                 if self.size >= 0:
+                    self.ring.reserve(self.size + 2)
                     continue
             self.parts.append(part)
             if len(self.parts) == 3:
--- a/calicofall/net/stream.py
+++ b/calicofall/net/stream.py
@@ -54,12 +54,17 @@
     def write(self, data: bytes) -> None:
         if self.closed or self.closing:
             return
+        self.written += len(data)
+        rest = memoryview(data)
+        while len(rest) and not (len(self.outward) or self.stuck or self.transport is None):
+            chunk, rest = rest[:CHUNK], rest[CHUNK:]  # past the buffer: large values are copied often enough
+            self.handed += len(chunk)
+            self.transport.write(chunk)
         try:
-            self.outward.write(data)
+            self.outward.write(rest)
         except BufferError:  # the peer does not read
             self.cut()
             return
-        self.written += len(data)
         self.flush()
 
     def flush(self) -> None:
--- a/calicofall/policy.py
+++ b/calicofall/policy.py
@@ -30,6 +30,8 @@
 PURSE = 3.0, 20.0  # RPCs unused by a tenant, beside a second of its quota: for few proxies, for many
 LEAST = 8  # answers that make a measure: a few heavy RPCs are no jam
 SICK, FINE, TRIAL = (2.5, 4.0), (1.5, 2.0), (1 / 64, 1 / 16)  # pace, pace and part; often met, seldom met
+LOST = {"reset": (1.0, 1 / 16), "unconnected": (1 / 2, 1 / 16)}  # part left: networks reset healthy ones, too
+AGAIN = frozenset({"error", "spoilt", "reset", "unconnected"})  # failures by chance: not the cache's for good
 DOUBLES = 5_000.0  # what a set-aside cache gets doubles in this time while nothing speaks against it
 
 
@@ -89,12 +91,10 @@
     def __init__(self, name: str) -> None:
         self.name, self.salt = name, point(name.encode()) | 1
         self.weight, self.started, self.ready, self.cell, self.zone, self.kind = 1.0, 0.0, True, 0, "", ""
-        self.held, self.heard = 0, 0.0  # last heard of, or first waited for
-        self.stuck = 0  # of these, sent before it was set aside or left the list: they take no room
+        self.held, self.heard, self.stuck = 0, 0.0, 0  # stuck: sent before it was set aside, takes no room
         self.sent = Ring(SENT, 6)
         self.wishes = Ring(16_000.0, 8)  # RPCs that were to go there while it was cold
-        self.part, self.part_at, self.aside = 1.0, 0.0, False  # of what it owns, what it is sent
-        self.pace = 1.0  # its answer times over what is usual, lately
+        self.part, self.part_at, self.aside, self.pace = 1.0, 0.0, False, 1.0  # part it is sent
 
     def clear(self) -> None:
         """Nothing is held against it."""
@@ -303,7 +303,7 @@
     def _choose(self, now: float, rpc: Rpc) -> Cache | None:
         # An RPC without a key has no owner: it draws one, so that load still follows the weights.
         key = rpc.key if rpc.key is not None else self.chance.getrandbits(52)
-        tried = {tx.cache for tx in rpc.sent if tx.outcome not in ("error", "spoilt") or len(rpc.sent) < 3}
+        tried = {tx.cache for tx in rpc.sent if tx.outcome not in AGAIN or len(rpc.sent) < 3}
         ranking = [c for c in self._ranking(key) if c.name not in tried and self._allowed(now, rpc, c)]
         if not ranking:
             return None
@@ -491,7 +491,7 @@
     def _may_retry(self, now: float, rpc: Rpc, outcome: str) -> bool:
         # Guards against retry storms: retries are a part of what comes in, not of what fails.
         fine = self.retries >= 1 and rpc.until - now >= (self.typical[rpc.method] or 0.0)
-        self.retries -= fine * (0.5 if outcome == "error" else 1.0)  # an error is quick: it costs less
+        self.retries -= fine * (0.5 if outcome in AGAIN else 1.0)  # what failed soon costs less
         return fine
 
     def _learn(self, now: float, rpc: Rpc, cache: Cache, outcome: str, took: float, note: str | None,
@@ -526,8 +526,8 @@
                 self._paced(now, cache, pace, now - took)
             elif self.seldom:  # often met caches that fail RPCs in their usual time are not overloaded
                 self.fleet.present.add(now, 6.0)
-        elif outcome in ("unconnected", "reset"):
-            self._set_aside(now, cache, 1 / 16 if self.seldom else 1 / 8, outcome)
+        elif outcome in LOST:
+            self._set_aside(now, cache, LOST[outcome][self.seldom], outcome)
 
     def _paced(self, now: float, cache: Cache, pace: float, sent: float) -> None:
         part = cache.trickle(now)
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -373,3 +373,18 @@
         served, asked = served + good, asked + 1
         policy.wait(now)
     assert served > 0.97 * asked
+
+
+def test_resets_are_no_news_of_a_cache_and_refused_connections_are() -> None:
+    """Networks reset connections to healthy caches: each such reset sent their keys elsewhere for seconds."""
+    policy = busy()
+    rpc = rpc_for("read", until=9000.0, arrived=6000.0)
+    cache = policy.caches[send(policy, 6000.0, rpc)[1]]
+    rpc.sent[0].outcome = "reset"
+    policy.after(6010.0, rpc, 0, 10.0, None, None)
+    assert cache.part == 1.0
+    rpc = rpc_for("read", until=9000.0, arrived=6020.0)
+    policy._send(6020.0, rpc, cache, 0.0)
+    rpc.sent[0].outcome = "unconnected"
+    policy.after(6030.0, rpc, 0, 10.0, None, None)
+    assert cache.part == 0.5
