--- a/calicofall/net/buffer.py
+++ b/calicofall/net/buffer.py
@@ -7,7 +7,6 @@
 from calicofall.holds import holds
 
 LEAST, MOST = 4096, 1 << 21
-AT_ONCE = 1 << 16  # reserved at most before it has come: a length that is only said costs no more
 
 
 class RingBuffer:
@@ -48,8 +47,8 @@
 
     def reserve(self, count: int) -> None:
         """Room for a value of so many bytes, so that it is read in few pieces."""
-        if min(count, AT_ONCE) > len(self.memory):
-            self._grow(min(count, AT_ONCE))
+        if count > len(self.memory):
+            self._grow(count)
 
     def filled(self, count: int) -> None:
         self.length += count
--- a/calicofall/net/clients.py
+++ b/calicofall/net/clients.py
@@ -19,6 +19,8 @@
 LINGER = 0.25  # s in which a client may read why its connection ends
 FIRST = 2.1  # s in which a connection's first byte comes
 WHOLE = 2.0  # s in which a command comes whole
+REST = 0.1  # s that a connection between RPCs may rest where many do
+MANY = 8  # of the budget: more than this part of it resting is many
 FRESH = 0.25  # s in which a connection without a byte is not yet taken for one that says nothing
 
 
@@ -218,15 +220,27 @@
         now = self.loop.time()
         for client in [client for client, since in self.silent.items() if since < now - FIRST]:
             client.cut()
+        self.thin()
         for client in [client for client, since in self.halves.items() if since < now - WHOLE]:
             self.refuse(client, "a command that does not end")
 
+    def thin(self) -> None:
+        """Guards against clients that ask once and stay: what they keep is missing to ask with."""
+        early = self.loop.time() - REST
+        while len(self.resting) > self.most // MANY:
+            client, since = next(iter(self.resting.items()))
+            if since > early:
+                return
+            self.resting.pop(client)
+            client.close()
+
     def busy(self, client: Client) -> None:
         self.resting.pop(client, None)
 
     def idle(self, client: Client) -> None:
         self.resting.pop(client, None)
         self.resting[client] = self.loop.time()
+        self.thin()
 
     def gone(self, client: Client) -> None:
         self.half(client, False)
--- a/calicofall/net/resp.py
+++ b/calicofall/net/resp.py
@@ -69,7 +69,6 @@
                     if kind == b"$" and count >= 0:
                         self._weigh(count)
                         self.bulk = count
-                        self.ring.reserve(count + 2)
                         continue
                     if kind == b"*" and count > 0:
                         if len(self.stack) >= DEEPEST:
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -19,7 +19,7 @@
 from calicofall.facade import Router
 from calicofall.net import resp
 from calicofall.net.caches import READY
-from calicofall.net.clients import FAULTS
+from calicofall.net.clients import FAULTS, MANY
 from calicofall.net.stream import A_TURN, Door
 from calicofall.rpc import Rpc
 
@@ -372,6 +372,22 @@
     assert not usual[0].open and all(client.open for client in [*usual[1:], *come, late])
 
 
+def test_connections_that_ask_once_and_stay_are_closed_where_many_rest() -> None:
+    """Clients share a third of the descriptors: 128 that stayed idle left none to ask with."""
+    desk = Desk(sockets=384)
+    desk.proxy.upkeep()
+    busy, kept = desk.client(), desk.client()
+    kept.feed(resp.command([b"PING"]))
+    busy.feed(ask(patience="2000"))
+    stay = [desk.client() for _ in range(120)]
+    for client in stay:
+        client.feed(resp.command([b"PING"]))
+    assert all(client.open for client in stay)
+    desk.loop.run(0.5)
+    rest = 352 // MANY
+    assert [client.open for client in stay] == [False] * (120 - rest) + [True] * rest and busy.open
+
+
 @pytest.mark.parametrize("data", [b"", b"*", b"*4\r\n$5\r\nC.GET\r\n", ask("save", value=bytes(9000))[:5000]])
 def test_half_a_command_is_waited_for_two_to_three_seconds(data: bytes) -> None:
     """Connections that said nothing, or never ended a command, were kept for good."""
