--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -410,3 +410,18 @@
             policy._paced(now, cache, 10.0, now - 1.0)
     assert sum(cache.part < 0.5 for cache in policy.caches.values()) == 4  # the fourth makes it a third
     assert policy.fleet.slack == 500.0 / 4.0 / max(policy.typical.values(), key=lambda usual: usual or 0.0)
+
+
+def test_what_may_need_the_origin_counts_by_how_often_it_does() -> None:
+    """After a restart no key was seen to be held: all passed for fetches, and the limit turned them away."""
+    policy = busy()
+    for number in range(200):
+        policy.unseen.add(6000.0, number % 4 == 0)
+    policy.review_at = policy.measure_at = 6000.0
+    policy.wait(6000.0)
+    rpc, write = rpc_for("read", key=999, arrived=6000.0, until=6900.0), rpc_for("save", 998, 6000.0, 6900.0)
+    held = policy.origin.held
+    assert send(policy, 6000.0, rpc)[0] == "send" and policy.origin.held - held < 0.6
+    policy.after(6010.0, rpc, 0, 10.0, "hit", None)
+    assert policy.origin.held == held
+    assert send(policy, 6010.0, write)[0] == "send" and policy.origin.held == held + 1.0
