--- a/calicofall/net/caches.py
+++ b/calicofall/net/caches.py
@@ -229,7 +229,7 @@
         self.keep = (caps.get("conn_idle") or 30_000.0) / 1000.0 * EARLIER
         self.pools: dict[str, Pool] = {}
         self.ahead = ahead  # connections are opened before they are needed
-        self.crowded: Callable[[], bool] = lambda: True  # whether the budget that clients share has room
+        self.shared: Callable[[], bool] = lambda: True  # whether the budget that clients share has room
         self.each = self.most
         self.spoilt, self.tell_at = 0, 0.0
 
@@ -249,7 +249,7 @@
             resting = [line for pool in self.pools.values() for line in pool.lines if line.rests]
             if resting:
                 min(resting, key=lambda line: line.idle_since).cut()
-        return self.count() < self.most and self.crowded()
+        return self.count() < self.most and self.shared()
 
     def listed(self, kind: str, entries: list[tuple], addresses: dict[str, str]) -> None:
         """The list as the module has it, too: where each cache is, and whether it is wanted."""
--- a/calicofall/net/proxy.py
+++ b/calicofall/net/proxy.py
@@ -67,7 +67,7 @@
         room = max(1, words.memory(node) - BASE) << 18
         self.clients = Clients(loop, sockets - SPARE, room, self.patience, self.ask, self.left)
         self.clients.others = self.caches.count
-        self.caches.crowded = self.clients.room
+        self.caches.shared = self.clients.room
         known = node.get("known") or {}
         # A chance of its own: the module's is for its decisions alone.
         self.discovery = Discovery(loop, open, node["discovery"], known.get("index"), Random(seed + 1),
--- a/calicofall/net/stream.py
+++ b/calicofall/net/stream.py
@@ -9,7 +9,7 @@
 import errno
 import logging
 import socket
-from collections.abc import Callable
+from collections.abc import Callable, Coroutine
 from contextlib import suppress
 
 from calicofall.net.buffer import RingBuffer
@@ -127,9 +127,15 @@
 
 def connect(loop: asyncio.AbstractEventLoop, stream: Stream, place: tuple[str, int], patience: float) -> None:
     """Opens a connection for a stream, which is cut if none comes up in time."""
-    stream.rising = task = loop.create_task(_connect(loop, stream, place, patience))
+    stream.rising = rise(loop, _connect(loop, stream, place, patience))
+
+
+def rise(loop: asyncio.AbstractEventLoop, steps: Coroutine) -> asyncio.Task:
+    """A connection's way up as a task that is held until it is over: the loop alone would let it go."""
+    task = loop.create_task(steps)
     opening.add(task)
     task.add_done_callback(opening.discard)
+    return task
 
 
 class Door:
@@ -165,17 +171,15 @@
             self._take(plug, self.make())
 
     def _take(self, plug: socket.socket, stream: Stream) -> None:
-        async def rise() -> None:
-            try:
-                plug.setblocking(False)
-                await self.loop.connect_accepted_socket(lambda: stream, plug)
-            except OSError:
-                plug.close()
-                stream.cut()
-
-        task = self.loop.create_task(rise())
-        opening.add(task)
-        task.add_done_callback(opening.discard)
+        rise(self.loop, self._rise(plug, stream))
+
+    async def _rise(self, plug: socket.socket, stream: Stream) -> None:
+        try:
+            plug.setblocking(False)
+            await self.loop.connect_accepted_socket(lambda: stream, plug)
+        except OSError:
+            plug.close()
+            stream.cut()
 
     def close(self) -> None:
         if self.plug.fileno() >= 0:
--- a/calicofall/words.py
+++ b/calicofall/words.py
@@ -45,12 +45,16 @@
 
 def sockets(node: dict) -> int:
     """How many descriptors a configuration allows."""
-    return int((node.get("limits") or {}).get("sockets") or 1024)
+    return _limit(node, "sockets", 1024)
 
 
 def memory(node: dict) -> int:
     """How many MB a configuration allows."""
-    return int((node.get("limits") or {}).get("memory_mb") or 192)
+    return _limit(node, "memory_mb", 192)
+
+
+def _limit(node: dict, name: str, usual: int) -> int:
+    return int((node.get("limits") or {}).get(name) or usual)
 
 
 def listing(message: Any) -> tuple[str, int | None, list[tuple], dict[str, str]]:
