A key not seen held counts at the origin by how often such are fetched, at any size

Cause: where a proxy meets caches seldom (40 proxies, 60 caches) a read of a key that it had not seen held took a whole place under the origin's limit (policy.py, where(): fetch *= ... self.seldom). Ruled out: a jam of the origin (fetch times), the fleet's limit (a few a second).

Change: the share of such reads that were fetched counts at any size; writes count whole.

--- a/calicofall/policy.py
+++ b/calicofall/policy.py
@@ -411,7 +411,7 @@
         if cache is None:  # waiting would not change what was tried, or the chance taken
             return self._give_up(rpc, method)
         fetch = float(not self.aside and (rpc.write or not self._holds(cache, rpc.key)))
-        fetch *= 1.0 if rpc.write or self.seldom else self.missing  # how likely the origin is needed
+        fetch *= 1.0 if rpc.write else self.missing  # how likely the origin is needed
         # Guards against a jam behind the caches: what is likely to need the origin waits for room there.
         if fetch and not self._room(now, self.origin, rpc):
             return self._later(now, rpc, method)
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -425,3 +425,15 @@
     policy.after(6010.0, rpc, 0, 10.0, "hit", None)
     assert policy.origin.held == held
     assert send(policy, 6010.0, write)[0] == "send" and policy.origin.held == held + 1.0
+
+
+def test_many_proxies_count_a_key_they_did_not_see_held_by_how_often_it_is_fetched() -> None:
+    """A proxy of forty saw few keys held: each read filled a place at an idle origin, half were turned away."""
+    policy = Policy(fleet(proxies=40), 1, 0.0)
+    policy.listed(0.0, "full", 1, [(f"c{i}", "z", "box", 0, "ready", None, 0.0) for i in range(60)])
+    for number in range(100):
+        policy.unseen.add(3000.0, number % 10 == 0)
+    policy.wait(3000.0)
+    assert policy.seldom
+    sent = [send(policy, 3000.0 + i, rpc_for("read", 1000 + i, 3000.0 + i, 3400.0))[0] for i in range(9)]
+    assert sent == ["send"] * 9 and 0.8 < policy.origin.held < 1.0
