--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -428,7 +428,7 @@
 
 
 def test_many_proxies_count_a_key_they_did_not_see_held_by_how_often_it_is_fetched() -> None:
-    """A proxy of forty saw few keys held: each read filled a place at an idle origin, half were turned away."""
+    """A proxy of forty saw few keys held: each read filled a place at an idle origin, most failed."""
     policy = Policy(fleet(proxies=40), 1, 0.0)
     policy.listed(0.0, "full", 1, [(f"c{i}", "z", "box", 0, "ready", None, 0.0) for i in range(60)])
     for number in range(100):
