Watches reopen ever more seldom with many proxies; reads leave silent caches and zones early

Changes: the pauses between two watches begin at 50 ms and end at 250 ms times the proxies (half the stated span to ask in at most). Four caches of a zone that time out with nothing heard of the zone since they were sent to, while another zone answers, set the zone aside.

--- a/calicofall/net/caches.py
+++ b/calicofall/net/caches.py
@@ -31,10 +31,11 @@
 class Sending:
     """One transmission on its way."""
 
-    __slots__ = ("owner", "number", "data", "at", "end", "line", "timer", "over")
+    __slots__ = ("owner", "number", "data", "at", "last", "end", "line", "timer", "over")
 
-    def __init__(self, owner: Any, number: int, data: bytes, at: float) -> None:
+    def __init__(self, owner: Any, number: int, data: bytes, at: float, last: float = 0.0) -> None:
         self.owner, self.number, self.data, self.at = owner, number, data, at
+        self.last = last  # the loop's time at which its RPC is over: till then it may be waited for
         self.end = 0  # where its last byte stands among all that its connection wrote
         self.line: Line | None = None
         self.timer: asyncio.TimerHandle | None = None
@@ -140,6 +141,11 @@
         """Whether its last byte has not left: it has not run."""
         return not self.up or sending.end > self.handed
 
+    def shares(self, sending: Sending) -> bool:
+        """Whether it has left on a connection where others wait, too: it can't be called off alone."""
+        return not (self.closed or self.proven(sending) or
+                    all(other.over or other is sending for other in self.queue))
+
     def lost(self) -> None:
         self.pool.lines.pop(self, None)
         queue, self.queue = self.queue, deque()
@@ -275,9 +281,11 @@
         for pool in self.pools.values():
             pool.warm()
 
-    def send(self, name: str, owner: Any, number: int, data: bytes, now: float, time_out: float) -> Sending:
-        sending = Sending(owner, number, data, now)
-        sending.timer = self.loop.call_later(max(0.0, time_out) / 1000.0, self.give_up, sending, "timeout")
+    def send(self, name: str, owner: Any, number: int, data: bytes, now: float, time_out: float,
+             left: float = 0.0) -> Sending:
+        """Sends to a cache; the answer is waited for `time_out` ms, of the `left` ms that the RPC has."""
+        sending = Sending(owner, number, data, now, self.loop.time() + left / 1000.0)
+        sending.timer = self.loop.call_later(max(0.0, time_out) / 1000.0, self.late, sending)
         pool = self.pools.get(name)
         line = pool.line() if pool is not None and pool.wanted and pool.address is not None else None
         if line is None:
@@ -287,6 +295,17 @@
             pool.warm()
         return sending
 
+    def late(self, sending: Sending) -> None:
+        """An answer is overdue: it is called off, if that can be done."""
+        line, left = sending.line, sending.last - self.loop.time()
+        # Guards against a second copy: what is called off early is sent elsewhere, while on a connection that
+        # stays open, for others wait there, it is still out.
+        if left > 0.0 and line is not None and line.shares(sending):
+            sending.timer = self.loop.call_later(left, self.give_up, sending, "timeout")
+            line.late = True
+        else:
+            self.give_up(sending, "timeout")
+
     def give_up(self, sending: Sending, outcome: str) -> None:
         """Stop waiting: the connection is closed, unless all of it has left and others wait there."""
         if sending.over:
@@ -296,7 +315,7 @@
             if not line.up:
                 line.queue.remove(sending)
                 outcome = "moot"  # never written; the connection may come up and serve the next
-            elif line.proven(sending) or all(other.over or other is sending for other in line.queue):
+            elif not line.shares(sending):
                 # Nothing of it may leave from here on, so what still lies in the buffer goes with the rest.
                 line.queue.remove(sending)  # so that the cut does not report it as reset
                 line.cut()
--- a/calicofall/net/discovery.py
+++ b/calicofall/net/discovery.py
@@ -16,6 +16,7 @@
 
 SILENT = 3.0  # s without a line, where one comes every 2 s at the latest
 LONGEST = 1 << 20  # bytes of a line
+FIRST_PAUSE, LONGEST_PAUSE = 0.05, 0.25  # s between two tries, times the proxies that may ask together
 HEAD = 8192
 log = logging.getLogger("calicofall")
 
@@ -109,10 +110,14 @@
     """Keeps a watch open, whatever becomes of it."""
 
     def __init__(self, loop: asyncio.AbstractEventLoop, open: Callable, address: str, since: int | None,
-                 chance: Random, news: Callable, failed: Callable) -> None:
+                 chance: Random, news: Callable, failed: Callable, proxies: int = 1,
+                 longest: float = 5.0) -> None:
         self.loop, self.open, self.chance, self.news, self.failed = loop, open, chance, news, failed
         self.host, self.place, self.since = address, words.place(address), since
         self.watch: Watch | None = None
+        # Guards against a jam that reopening feeds: all proxies lose their watch at once, and an overbooked
+        # service answers each in vain. Together they ask no more often than a few would.
+        self.first, self.longest = FIRST_PAUSE * proxies, min(longest, max(1.0, LONGEST_PAUSE * proxies))
         self.pause = 0.0  # s before the next try
         self.again: asyncio.TimerHandle | None = None  # the next try
         self.stopped = self.down = False
@@ -148,7 +153,7 @@
             log.warning("list watch lost", extra={"reason": watch.why, "index": self.since})
         self.failed()
         # Guards against all proxies asking again at one time.
-        self.pause = min(1.0, self.pause * 2 or 0.05)
+        self.pause = min(self.longest, self.pause * 2 or self.first)
         self.again = self.loop.call_later(self.pause * self.chance.uniform(0.5, 1.5), self.start)
 
     def move(self, address: str) -> None:
--- a/calicofall/net/proxy.py
+++ b/calicofall/net/proxy.py
@@ -71,7 +71,8 @@
         known = node.get("known") or {}
         # A chance of its own: the module's is for its decisions alone.
         self.discovery = Discovery(loop, open, node["discovery"], known.get("index"), Random(seed + 1),
-                                   self.told, self.unheard)
+                                   self.told, self.unheard, deployment.get("proxies") or 1,
+                                   (deployment["rules"].get("ask_every") or 10_000.0) / 2000.0)
         self.calls: dict[str, Call] = {}
         self.open: set[bytes] = set()  # the ids of RPCs in hand, as clients named them
         self.ids, self.rounds = count(), 0
@@ -139,7 +140,8 @@
         if cache is not None:
             holds(not rpc.over and now < rpc.until, "nothing is sent for an RPC that is over")
             data = resp.command(words.passed_on(call.parts, rpc.time_out))
-            call.sending = self.caches.send(cache, call, len(rpc.sent) - 1, data, now, rpc.time_out)
+            call.sending = self.caches.send(cache, call, len(rpc.sent) - 1, data, now, rpc.time_out,
+                                            rpc.until - now)
         elif rpc.answer == "exhausted":
             ms = round(rpc.come_back)
             self.answer(now, call, resp.fault(f"BUSY {ms}" if ms > 0 else "BUSY"))
--- a/calicofall/policy.py
+++ b/calicofall/policy.py
@@ -32,6 +32,7 @@
 SICK, FINE, TRIAL = (2.5, 4.0), (1.5, 2.0), (1 / 64, 1 / 16)  # pace, pace and part; often met, seldom met
 LOST = {"reset": (1.0, 1 / 16), "unconnected": (1 / 2, 1 / 16)}  # part left: networks reset healthy ones, too
 AGAIN = frozenset({"error", "spoilt", "reset", "unconnected"})  # failures by chance: not the cache's for good
+LATE = 3.0  # usual times after which a read may be called off and sent elsewhere, where caches are seldom met
 DOUBLES = 5_000.0  # what a set-aside cache gets doubles in this time while nothing speaks against it
 
 
@@ -149,6 +150,7 @@
         self.purse = {name: [PURSE[self.proxies > SELDOM] * self.chance.random(), now] for name in self.quota}
         self.asked = {name: Ring(16_000.0 if self.proxies > SELDOM else 4_000.0, 8) for name in self.quota}
         self.paces: dict[str, Ring] = {}  # by kind of machine: one proxy meets a cache too seldom
+        self.zones: dict[str, list] = {}  # heard of last; sent since without an answer, by cache
         self.born, self.seldom = now, self.proxies > SELDOM
         self.swift: dict[str, float] = {}  # what a kind can be sent beside its weight, for answers as fast
         self.scale = self.middle = 1.0
@@ -251,7 +253,8 @@
         if cache.part <= 0.25 and not cache.aside:
             cache.aside = True
             self._write_off(now, cache)
-            self.errands.append(("log", f"set aside {cache.name}: {why}, peers {self.middle:.1f}"))
+            if why:
+                self.errands.append(("log", f"set aside {cache.name}: {why}, peers {self.middle:.1f}"))
 
     def _write_off(self, now: float, cache: Cache) -> None:
         self.fleet.take(now, cache.stuck - cache.held)
@@ -432,7 +435,21 @@
             self.fleet.take(now, 1.0)
         self.origin.take(now, fetch)
         rpc.sent.append(Transmission(cache.name, now, fetch))
-        return "send", cache.name, rpc.until - now
+        return "send", cache.name, self._patience(rpc.until - now, rpc, cache)
+
+    def _patience(self, left: float, rpc: Rpc, cache: Cache) -> float:
+        """How long its answer is waited for: as the client does, or while another cache can still help.
+
+        Guards against machines that vanish: where each is met seldom, each costs RPCs of every proxy.
+        """
+        usual = self.typical[rpc.method]
+        if not usual or not self.seldom or self.retries < 1:
+            return left
+        soon = LATE * usual * self.middle
+        if not self._holds(cache, rpc.key):
+            soon = max(soon, 1.3 * self.fetch_usual + usual)
+        again = self.methods[rpc.method]["repeats"] == "retriable" and left - soon >= 2.0 * usual
+        return soon if again else left
 
     def _to_origin(self, now: float, rpc: Rpc, method: dict) -> tuple:
         origin = next((o for o in self.origins.values() if o.ready), None)
@@ -499,6 +516,7 @@
         cache.stuck -= cache.stuck > 0
         usual = self.typical[rpc.method]
         pace = min(took / usual, 10.0) if usual else cache.pace  # answer time over the method's usual
+        self._zone(now, cache, outcome, now - took)
         # A slow origin is not the cache's: an answer that took a fetch is measured apart.
         fetched = note == "fetched" or (rpc.write and not self.aside)
         if outcome == "completed":
@@ -528,9 +546,27 @@
                 self._paced(now, cache, pace, now - took, True)
             elif self.seldom:  # often met caches that fail RPCs in their usual time are not overloaded
                 self.fleet.present.add(now, 6.0)
+        elif outcome == "moot" and not rpc.over and usual:
+            self._paced(now, cache, pace, now - took, True)
         elif outcome in LOST:
             self._set_aside(now, cache, LOST[outcome][self.seldom], outcome)
 
+    def _zone(self, now: float, cache: Cache, outcome: str, sent: float) -> None:
+        # Guards against a lost zone: its machines say nothing, and each is met too seldom to learn it.
+        zone = self.zones.setdefault(cache.zone, [0.0, {}])
+        if outcome not in ("timeout", "unconnected", "moot"):
+            if outcome != "cancelled":
+                zone[:] = now, {}
+            return
+        if sent > zone[0] and self.seldom:
+            zone[1][cache.name] = sent
+            heard = max((other[0] for name, other in self.zones.items() if name != cache.zone), default=0)
+            if len(zone[1]) == 4 and heard > min(zone[1].values()):
+                self.errands.append(("log", f"zone {cache.zone} silent for {now - zone[0]:.0f} ms"))
+                for other in self.caches.values():
+                    if other.zone == cache.zone and other.ready and other.part > 1 / 16:
+                        self._set_aside(now, other, 1 / 16, "")
+
     def _paced(self, now: float, cache: Cache, pace: float, sent: float, lost: bool = False) -> None:
         part = cache.trickle(now)
         self.paces.setdefault(cache.kind, Ring(30_000.0, 10)).add(now, min(pace, 5.0))
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -192,6 +192,32 @@
     assert 8 <= len(loop.opened) <= 14  # each try is given up, too, after the same time
 
 
+@pytest.mark.parametrize("proxies,most", [(40, 60), (2, 30)])
+def test_watches_lost_together_do_not_keep_an_overbooked_service_jammed(proxies: int, most: int) -> None:
+    """Forty proxies asked again within a second, each answered in vain after two: nobody heard any news."""
+    loop, tries = Loop(), []
+
+    def open_(_loop: Loop, stream: object, _place: tuple, _patience: float) -> None:
+        tries.append(loop.time())
+        wire = Wire(stream)
+        if len(tries) > proxies:  # the service is overbooked from the first loss on
+            loop.call_later(2.0, lambda: wire.open and wire.feed(b"HTTP/1.1 503 No\r\n\r\n"))
+
+    fleet = [Discovery(loop, open_, "10.2.0.1:8500", 41, Random(seed), lambda *news: None, lambda: None,
+                       proxies) for seed in range(proxies)]
+    for discovery in fleet:
+        discovery.start()
+    for discovery in fleet:
+        discovery.watch.cut()
+    start = loop.time()
+    loop.run(1.0)
+    assert sum(at > start for at in tries) <= max(proxies / 2, 10)  # none in step
+    loop.run(9.0)
+    tries.clear()
+    loop.run(10.0)
+    assert 0 < len(tries) <= most
+
+
 @pytest.mark.parametrize("broken", [
     {}, {"endpoints": 5}, {"endpoints": [5]}, {"endpoints": [{}]}, {"endpoints": [{"name": 5}]}, [],
     {"endpoints": [endpoint("c1") | {"since_ms": "x"}]}, {"endpoints": [endpoint("c1") | {"weight": "x"}]},
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -494,3 +494,45 @@
             policy.after(float(now), rpc, 0, took, note, None)
         policy.wait(float(now))
     assert policy.origin.value >= limit
+
+
+def test_a_read_is_called_off_while_another_cache_can_still_help() -> None:
+    """Machines that vanished kept each read for its client's whole patience: 600 of a zone's were lost."""
+    policy = sparse()
+    policy.retries = 1.0
+    policy.holders[0].update((7, name) for name in policy.caches)
+    rpc = rpc_for("read", 7, 3000.0, 3400.0)
+    assert send(policy, 3000.0, rpc)[2] == 150.0
+    rpc.sent[0].outcome = "timeout"
+    again = policy.after(3200.0, rpc, 0, 200.0, None, None)
+    assert again[0] == "send" and again[1] != rpc.sent[0].cache and again[2] == 200.0
+    policy.retries = 0.5  # no retry to spend: then the first answer is waited for
+    assert send(policy, 3300.0, rpc_for("read", 8, 3300.0, 3700.0))[2] == 400.0
+    policy.retries = 1.0
+    assert send(policy, 3300.0, rpc_for("order", 9, 3300.0, 3700.0))[2] == 400.0
+
+
+def test_a_zone_that_falls_silent_is_set_aside_whole() -> None:
+    """Each proxy learned of thirty silent machines one by one, by time-outs; the other zone stood idle."""
+    policy = Policy(fleet(proxies=40), 1, 0.0)
+    policy.listed(0.0, "full", 1, [(f"c{i}", "ab"[i % 2], "box", 0, "ready", None, 0.0) for i in range(60)])
+
+    def end(name: str, sent: float, now: float, outcome: str) -> None:
+        rpc = rpc_for("read", 7, sent, now + 1.0)
+        rpc.sent.append(Transmission(name, sent, 0.0, outcome))
+        rpc.over, policy.caches[name].held = outcome == "completed", 1
+        policy.after(now, rpc, 0, now - sent, "hit" if outcome == "completed" else None, None)
+
+    def aside(zone: str) -> int:
+        return sum(cache.part < 0.5 for cache in policy.caches.values() if cache.zone == zone)
+
+    for number in range(4):  # time-outs here and there, while others of the zone answer, are no lost zone
+        end(f"c{2 * number}", 1000.0, 1200.0 + number, "timeout")
+        end("c30", 1150.0, 1200.5 + number, "completed")
+    assert aside("a") == 0 and aside("b") == 0
+    end("c31", 1900.0, 1950.0, "completed")
+    for number in range(4):
+        end(f"c{2 * number}", 1800.0, 2000.0 + number, "timeout")
+    assert aside("a") == 30 and aside("b") == 0
+    lines = [text for kind, text in policy.wait(2010.0)[1] if kind == "log"]
+    assert len(lines) == 1 and lines[0].startswith("zone a silent")
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -140,6 +140,24 @@
     assert len(desk.loop.opened) == 3
 
 
+def test_what_is_called_off_early_is_sent_elsewhere_and_out_only_once() -> None:
+    """On a connection that others shared the first copy was still out while the second went elsewhere."""
+    for shared in (False, True):
+        desk = Desk(caches=2).spacious()
+        desk.proxy.caches.each, policy = 1, desk.proxy.router.policy
+        policy._patience = lambda left, *_: 100.0
+        client, other = desk.client(), desk.client()
+        client.feed(ask(patience="400"))
+        line = desk.line()
+        if shared:
+            other.feed(ask())
+            assert len(desk.loop.opened) == 1
+        desk.loop.run(0.11)
+        assert line.open is shared and len(desk.loop.opened) == (1 if shared else 2)
+        (line if shared else desk.line()).feed(reply(b"one"))
+        assert client.sent == b"$3\r\none\r\n"
+
+
 def test_connections_rest_ready_before_they_are_needed() -> None:
     """A busy cache does a handshake behind its other work: first answers took two to four times as long."""
     desk = Desk(caches=1, ahead=True).spacious()
