--- a/calicofall/policy.py
+++ b/calicofall/policy.py
@@ -32,6 +32,7 @@
 SICK, FINE, TRIAL = (2.5, 4.0), (1.5, 2.0), (1 / 64, 1 / 16)  # pace, pace and part; often met, seldom met
 LOST = {"reset": (1.0, 1 / 16), "unconnected": (1 / 2, 1 / 16)}  # part left: networks reset healthy ones, too
 AGAIN = frozenset({"error", "spoilt", "reset", "unconnected"})  # failures by chance: not the cache's for good
+COLD_PART = 0.6, 1.0  # of what the rule lets a cold cache be sent: often met, seldom met
 LATE = 3.0  # usual times after which a read may be called off and sent elsewhere, where caches are seldom met
 DOUBLES = 5_000.0  # what a set-aside cache gets doubles in this time while nothing speaks against it
 
@@ -143,7 +144,8 @@
         self.carried = 0.0  # completed by a warm cache, per ms and unit of weight, this proxy's share
         self.holders: list[set[tuple]] = [set(), set()]  # (key, cache) seen to be held; newer, older
         self.turn_at, self.keys_at = now + HOLDS, now + KEYS
-        self.unseen, self.missing = Ring(60_000.0, 24), 0.5  # share of fetches, of keys not seen to be held
+        # Share of fetches, of keys not seen to be held: at warm caches, at cold ones
+        self.unseen, self.missing = (Ring(60_000.0, 24), Ring(60_000.0, 24)), [0.5, 0.5]
         self.asked_for: list[dict[int, int]] = [{}, {}]  # how often a key was asked for; newer, older
         quotas = {t["name"]: t.get("quota") or 0.0 for t in deployment.get("tenants") or []}
         self.quota = {name: quota / 1000.0 / self.proxies for name, quota in quotas.items()}
@@ -239,9 +241,9 @@
         self.fetch_usual = self.fetches.shortest(now, 2 * LEAST, self.fetch_usual)
         self.fleet.slack = max(2.5, self.soonest / 4.0 / max(1.0, *(t or 0.0 for t in self.typical.values())))
         # Guards against a limit found in a jam: a fetch has to leave time within the soft deadline.
-        self.origin.slack = min(2.5, max(1.2, 0.8 * self.soonest / self.fetch_usual))
+        self.origin.slack = min(2.5, max(1.6 if self.seldom else 1.2, 0.8 * self.soonest / self.fetch_usual))
         self.seldom = self.sent.count(now) < SELDOM * len(self.usable)
-        self.missing = self.unseen.recent(now, LEAST, 10_000.0) or 0.5
+        self.missing = [ring.recent(now, LEAST, 10_000.0) or 0.5 for ring in self.unseen]
         if now >= self.keys_at:
             self.asked_for, self.keys_at = [{}, self.asked_for[0]], now + KEYS
         if now >= self.turn_at:
@@ -365,7 +367,7 @@
         for count, over in ((asked, span), (cache.wishes.count(now), min(now - cache.started, 16_000.0))):
             if count >= 2:
                 wished = max(wished, count / max(1000.0, over))
-        if self.chance.random() * wished >= 0.6 * part * rate:
+        if self.chance.random() * wished >= COLD_PART[self.seldom] * part * rate:
             rpc.passed.add(cache.name)
         return cache.name not in rpc.passed
 
@@ -415,7 +417,7 @@
         if cache is None:  # waiting would not change what was tried, or the chance taken
             return self._give_up(rpc, method)
         fetch = float(not self.aside and (rpc.write or not self._holds(cache, rpc.key)))
-        fetch *= 1.0 if rpc.write else self.missing  # how likely the origin is needed
+        fetch *= 1.0 if rpc.write else self.missing[self._cold(now, cache)]  # how likely the origin is needed
         # Guards against a jam behind the caches: what is likely to need the origin waits for room there.
         if fetch and not self._room(now, self.origin, rpc):
             return self._later(now, rpc, method)
@@ -522,13 +524,11 @@
         if outcome == "completed":
             self.done.add(now, count=not self._cold(now, cache))
             if not rpc.write and not self._holds(cache, rpc.key):
-                self.unseen.add(now, note in ("fetched", "fetching"))
+                self.unseen[self._cold(now, cache)].add(now, note in ("fetched", "fetching"))
             if fetched:
                 self.fetches.add(now, took)
-                # Guards against caches with a queue of their own, whose fetches pass for a slow origin's.
-                if not self.seldom or not (cache.pace > 1.5 * self.middle or self._cold(now, cache)):
-                    slow = took / max(self.fetch_usual, 1.0)
-                    self.origin.present.add(now, min(slow, 2 * self.origin.slack if self.seldom else 10.0))
+                slow = took / max(self.fetch_usual, 1.0)
+                self._of_origin(now, cache, min(slow, 2 * self.origin.slack if self.seldom else 10.0), 1.0)
             elif note != "fetching":
                 self.usual[rpc.method].add(now, took)
                 self._paced(now, cache, pace, now - took)
@@ -540,17 +540,28 @@
             self.fleet.present.add(now, 5.0)
         elif outcome in ("error", "timeout"):
             # Guards against slow caches shrinking the origin's limit: most of what may fetch does not.
-            if fetch and cache.part >= 0.5 and (rpc.write or not self.seldom or self.missing > 0.5):
-                self.origin.present.add(now, 6.0)
-            elif outcome == "timeout":
+            if fetch and cache.part >= 0.5 and (rpc.write or not self.seldom or outcome == "error"):
+                self._of_origin(now, cache, 6.0, 1.0)
+                # Guards against a jam that hides: what fails for want of the origin is not seen fetched.
+                if not rpc.write and outcome == "error":
+                    self.unseen[self._cold(now, cache)].add(now, 1.0)
+            elif fetch and self.seldom:
+                self._of_origin(now, cache, 6.0, fetch)
+            if outcome == "timeout" and (self.seldom or not fetch or cache.part < 0.5):
                 self._paced(now, cache, pace, now - took, True)
-            elif self.seldom:  # often met caches that fail RPCs in their usual time are not overloaded
+            elif self.seldom and not fetch:  # often met caches that fail RPCs soon are not overloaded
                 self.fleet.present.add(now, 6.0)
         elif outcome == "moot" and not rpc.over and usual:
             self._paced(now, cache, pace, now - took, True)
         elif outcome in LOST:
             self._set_aside(now, cache, LOST[outcome][self.seldom], outcome)
 
+    def _of_origin(self, now: float, cache: Cache, slow: float, sure: float) -> None:
+        """What an answer or its absence tells of the origin, and how sure that is."""
+        # Guards against caches with a queue of their own, whose fetches pass for a slow origin's.
+        if not self.seldom or not (cache.pace > 1.5 * self.middle or self._cold(now, cache)):
+            self.origin.present.add(now, slow * sure, sure)
+
     def _zone(self, now: float, cache: Cache, outcome: str, sent: float) -> None:
         # Guards against a lost zone: its machines say nothing, and each is met too seldom to learn it.
         zone = self.zones.setdefault(cache.zone, [0.0, {}])
@@ -580,7 +591,8 @@
         if cache.pace > most and sent >= cache.part_at:  # one queue speaks once
             # Guards against load that goes in circles: where a third is slow it is nobody's fault.
             if self.seldom or 3 * sum(c.part < 0.5 for *_, c in self.usable if c != cache) < len(self.usable):
-                self._set_aside(now, cache, 1 / 2, f"pace {cache.pace:.1f}")
+                part = 1 / 4 if lost and self.seldom else 1 / 2
+                self._set_aside(now, cache, part, f"pace {cache.pace:.1f}")
         elif part < 1.0 and cache.pace < FINE[self.seldom] * self.middle:
             cache.part, cache.part_at = part * 2, now
 
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -417,7 +417,7 @@
     """After a restart no key was seen to be held: all passed for fetches, and the limit turned them away."""
     policy = busy()
     for number in range(200):
-        policy.unseen.add(6000.0, number % 4 == 0)
+        policy.unseen[0].add(6000.0, number % 4 == 0)
     policy.review_at = policy.measure_at = 6000.0
     policy.wait(6000.0)
     rpc, write = rpc_for("read", key=999, arrived=6000.0, until=6900.0), rpc_for("save", 998, 6000.0, 6900.0)
@@ -433,7 +433,7 @@
     policy = Policy(fleet(proxies=40), 1, 0.0)
     policy.listed(0.0, "full", 1, [(f"c{i}", "z", "box", 0, "ready", None, 0.0) for i in range(60)])
     for number in range(100):
-        policy.unseen.add(3000.0, number % 10 == 0)
+        policy.unseen[0].add(3000.0, number % 10 == 0)
     policy.wait(3000.0)
     assert policy.seldom
     sent = [send(policy, 3000.0 + i, rpc_for("read", 1000 + i, 3000.0 + i, 3400.0))[0] for i in range(9)]
@@ -446,7 +446,7 @@
     policy.listed(0.0, "full", 1, [(f"c{i}", "z", "box", 0, "ready", None, 0.0) for i in range(caches)])
     for number in range(64):
         policy.usual["read"].add(3000.0, 50.0)
-        policy.unseen.add(3000.0, number % 10 == 0)
+        policy.unseen[0].add(3000.0, number % 10 == 0)
     policy.wait(3000.0)
     assert policy.seldom and policy.typical["read"] == 50.0
     return policy
@@ -536,3 +536,28 @@
     assert aside("a") == 30 and aside("b") == 0
     lines = [text for kind, text in policy.wait(2010.0)[1] if kind == "log"]
     assert len(lines) == 1 and lines[0].startswith("zone a silent")
+
+
+def test_a_jam_of_the_origin_is_seen_through_the_errors_of_caches_seldom_met() -> None:
+    """Caches failed what they could not fetch; the errors shrank the wrong limit, and the jam stayed."""
+    policy = sparse()
+    limit = policy.origin.value
+    for now in range(3000, 6000, 50):
+        rpc = rpc_for("read", now, now - 150.0, now + 100.0)
+        rpc.sent.append(Transmission(f"c{now // 50 % 60}", now - 150.0, 0.1, "error"))
+        rpc.over, policy.caches[rpc.sent[0].cache].held = True, 1
+        policy.after(float(now), rpc, 0, 150.0, None, None)
+        policy.wait(float(now))
+    assert policy.origin.value < limit / 2 and policy.missing[0] > 0.4
+
+
+def test_a_read_of_a_warm_cache_does_not_pay_for_what_cold_ones_fetch() -> None:
+    """While six in ten caches were new, reads that warm ones held were turned away for the origin's sake."""
+    policy = sparse()
+    policy.listed(3000.0, "delta", 2, [(f"n{i}", "z", "box", 0, "ready", None, 3000.0) for i in range(60)])
+    for number in range(100):
+        cache = policy.caches[f"n{number % 60}"]
+        policy._learn(3100.0, rpc_for("read", 900 + number), cache, "completed", 60.0, "fetched", 0.5)
+    policy.measure_at = policy.review_at = 3200.0
+    policy.wait(3200.0)
+    assert policy.missing[0] < 0.2 and policy.missing[1] > 0.9
