Keys of a silent zone go to the best of the rest; older changes of the list are ignored

Change: such a key's three are taken from the other zones until something is heard of the zone (policy.py, _ranking).

--- a/calicofall/net/discovery.py
+++ b/calicofall/net/discovery.py
@@ -142,6 +142,10 @@
         if self.down:
             self.down = False
             log.info("list watch back", extra={"index": index})
+        # Guards against changes older than what is known, which bring back caches that drain or have gone.
+        if kind == "delta" and isinstance(index, int) and self.since is not None and index < self.since:
+            log.warning("older changes ignored", extra={"index": index, "known": self.since})
+            return
         self.news(kind, index, entries, addresses)
         self.since = index if isinstance(index, int) else self.since
 
--- a/calicofall/policy.py
+++ b/calicofall/policy.py
@@ -153,6 +153,7 @@
         self.asked = {name: Ring(16_000.0 if self.proxies > SELDOM else 4_000.0, 8) for name in self.quota}
         self.paces: dict[str, Ring] = {}  # by kind of machine: one proxy meets a cache too seldom
         self.zones: dict[str, list] = {}  # heard of last; sent since without an answer, by cache
+        self.silent: set[str] = set()  # zones that are set aside whole
         self.born, self.seldom = now, self.proxies > SELDOM
         self.swift: dict[str, float] = {}  # what a kind can be sent beside its weight, for answers as fast
         self.scale = self.middle = 1.0
@@ -299,8 +300,13 @@
         ranking = self.rankings.get(key)
         if ranking is None:
             place = point(key.to_bytes(8))
-            best = nsmallest(3, [(log(1.0 - place * salt % PRIME / PRIME) / weight, i)
-                                 for i, (salt, weight, _) in enumerate(self.usable)])
+            scores = [(log(1.0 - place * salt % PRIME / PRIME) / weight, i)
+                      for i, (salt, weight, _) in enumerate(self.usable)]
+            best = nsmallest(3, scores)
+            if all(self.usable[i][2].zone in self.silent for _, i in best):
+                # Guards against a lost zone: with two of them an eighth of all keys have their three there.
+                left = [score for score in scores if self.usable[score[1]][2].zone not in self.silent]
+                best = nsmallest(3, left) or best
             ranking = self.rankings[key] = [self.usable[i][2] for _, i in best]
         return ranking
 
@@ -557,7 +563,6 @@
             self._set_aside(now, cache, LOST[outcome][self.seldom], outcome)
 
     def _of_origin(self, now: float, cache: Cache, slow: float, sure: float) -> None:
-        """What an answer or its absence tells of the origin, and how sure that is."""
         # Guards against caches with a queue of their own, whose fetches pass for a slow origin's.
         if not self.seldom or not (cache.pace > 1.5 * self.middle or self._cold(now, cache)):
             self.origin.present.add(now, slow * sure, sure)
@@ -568,12 +573,17 @@
         if outcome not in ("timeout", "unconnected", "moot"):
             if outcome != "cancelled":
                 zone[:] = now, {}
+                if cache.zone in self.silent:
+                    self.silent.remove(cache.zone)
+                    self.rankings.clear()
             return
         if sent > zone[0] and self.seldom:
             zone[1][cache.name] = sent
             heard = max((other[0] for name, other in self.zones.items() if name != cache.zone), default=0)
-            if len(zone[1]) == 4 and heard > min(zone[1].values()):
+            if len(zone[1]) >= 4 and cache.zone not in self.silent and heard > min(zone[1].values()):
                 self.errands.append(("log", f"zone {cache.zone} silent for {now - zone[0]:.0f} ms"))
+                self.silent.add(cache.zone)
+                self.rankings.clear()
                 for other in self.caches.values():
                     if other.zone == cache.zone and other.ready and other.part > 1 / 16:
                         self._set_aside(now, other, 1 / 16, "")
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -192,6 +192,15 @@
     assert 8 <= len(loop.opened) <= 14  # each try is given up, too, after the same time
 
 
+def test_changes_older_than_what_is_known_are_ignored() -> None:
+    """A service that had fallen behind brought back caches that were gone."""
+    _, discovery, told, wire = watching()
+    lines = [LINE % 60, LINE.replace(b"true", b"false") % 50, LINE.replace(b"true", b"false") % 61, LINE % 7]
+    wire.feed(HEAD + b"".join(b"%x\r\n%b\r\n" % (len(line), line) for line in lines))
+    # a whole list always holds
+    assert [index for _, index, _, _ in told] == [60, 61, 7] and discovery.since == 7
+
+
 @pytest.mark.parametrize("proxies,most", [(40, 60), (2, 30)])
 def test_watches_lost_together_do_not_keep_an_overbooked_service_jammed(proxies: int, most: int) -> None:
     """Forty proxies asked again within a second, each answered in vain after two: nobody heard any news."""
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -534,6 +534,8 @@
     for number in range(4):
         end(f"c{2 * number}", 1800.0, 2000.0 + number, "timeout")
     assert aside("a") == 30 and aside("b") == 0
+    owners = {policy._ranking(key)[0].name for key in range(400)}
+    assert all(any(c.zone == "b" for c in policy._ranking(key)) for key in range(400)) and len(owners) == 60
     lines = [text for kind, text in policy.wait(2010.0)[1] if kind == "log"]
     assert len(lines) == 1 and lines[0].startswith("zone a silent")
 
