Read over: one reading of the proxies, of what is cold, of what counts as lost; no unused defaults

The number of proxies was read twice from the deployment in Proxy, whether a cache is cold three times for one outcome in _learn, the same condition twice in _paced; Sending and Caches.send had defaults that nobody used.

--- a/calicofall/net/caches.py
+++ b/calicofall/net/caches.py
@@ -33,7 +33,7 @@
 
     __slots__ = ("owner", "number", "data", "at", "last", "end", "line", "timer", "over")
 
-    def __init__(self, owner: Any, number: int, data: bytes, at: float, last: float = 0.0) -> None:
+    def __init__(self, owner: Any, number: int, data: bytes, at: float, last: float) -> None:
         self.owner, self.number, self.data, self.at = owner, number, data, at
         self.last = last  # the loop's time at which its RPC is over: till then it may be waited for
         self.end = 0  # where its last byte stands among all that its connection wrote
@@ -282,7 +282,7 @@
             pool.warm()
 
     def send(self, name: str, owner: Any, number: int, data: bytes, now: float, time_out: float,
-             left: float = 0.0) -> Sending:
+             left: float) -> Sending:
         """Sends to a cache; the answer is waited for `time_out` ms, of the `left` ms that the RPC has."""
         sending = Sending(owner, number, data, now, self.loop.time() + left / 1000.0)
         sending.timer = self.loop.call_later(max(0.0, time_out) / 1000.0, self.late, sending)
--- a/calicofall/net/proxy.py
+++ b/calicofall/net/proxy.py
@@ -59,8 +59,9 @@
         self.router = Router(deployment, seed, self.now())
         sockets = words.sockets(node)
         self.patience = max([m["hard_deadline"] for m in self.methods.values()], default=3000.0) / 1000.0
+        proxies = deployment.get("proxies") or 1
         # Hundreds of proxies would hold connections to every cache that each of them uses once a minute.
-        ahead = (deployment.get("proxies") or 1) <= FEW
+        ahead = proxies <= FEW
         self.caches = Caches(loop, deployment["caps"], int((sockets - SPARE) * 0.4), ahead, open,
                              self.outcome)
         # A command in hand, its way to a cache and its answer each take about as much again.
@@ -71,7 +72,7 @@
         known = node.get("known") or {}
         # A chance of its own: the module's is for its decisions alone.
         self.discovery = Discovery(loop, open, node["discovery"], known.get("index"), Random(seed + 1),
-                                   self.told, self.unheard, deployment.get("proxies") or 1,
+                                   self.told, self.unheard, proxies,
                                    (deployment["rules"].get("ask_every") or 10_000.0) / 2000.0)
         self.calls: dict[str, Call] = {}
         self.open: set[bytes] = set()  # the ids of RPCs in hand, as clients named them
--- a/calicofall/policy.py
+++ b/calicofall/policy.py
@@ -456,8 +456,8 @@
         soon = LATE * usual * self.middle
         if not self._holds(cache, rpc.key):
             soon = max(soon, 1.3 * self.fetch_usual + usual)
-        again = self.methods[rpc.method]["repeats"] == "retriable" and left - soon >= 2.0 * usual
-        return soon if again else left
+        again = self.methods[rpc.method]["repeats"] == "retriable"
+        return soon if again and left - soon >= 2.0 * usual else left
 
     def _to_origin(self, now: float, rpc: Rpc, method: dict) -> tuple:
         origin = next((o for o in self.origins.values() if o.ready), None)
@@ -522,15 +522,15 @@
                fetch: float) -> None:
         self.fleet.take(now, 0.0 if cache.stuck else -1.0)
         cache.stuck -= cache.stuck > 0
-        usual = self.typical[rpc.method]
+        usual, cold = self.typical[rpc.method], self._cold(now, cache)
         pace = min(took / usual, 10.0) if usual else cache.pace  # answer time over the method's usual
         self._zone(now, cache, outcome, now - took)
         # A slow origin is not the cache's: an answer that took a fetch is measured apart.
         fetched = note == "fetched" or (rpc.write and not self.aside)
         if outcome == "completed":
-            self.done.add(now, count=not self._cold(now, cache))
+            self.done.add(now, count=not cold)
             if not rpc.write and not self._holds(cache, rpc.key):
-                self.unseen[self._cold(now, cache)].add(now, note in ("fetched", "fetching"))
+                self.unseen[cold].add(now, note in ("fetched", "fetching"))
             if fetched:
                 self.fetches.add(now, took)
                 slow = took / max(self.fetch_usual, 1.0)
@@ -550,7 +550,7 @@
                 self._of_origin(now, cache, 6.0, 1.0)
                 # Guards against a jam that hides: what fails for want of the origin is not seen fetched.
                 if not rpc.write and outcome == "error":
-                    self.unseen[self._cold(now, cache)].add(now, 1.0)
+                    self.unseen[cold].add(now, 1.0)
             elif fetch and self.seldom:
                 self._of_origin(now, cache, 6.0, fetch)
             if outcome == "timeout" and (self.seldom or not fetch or cache.part < 0.5):
@@ -597,12 +597,12 @@
         # Guards against single answers: a healthy cache has a slow one now and then, a sick one a fast one.
         cache.pace += (pace - cache.pace) * (1.0 if self.seldom else 0.15 if part >= 1.0 else 0.3)
         # Guards against clients less patient than a slow cache is told by: no time-out was ever long enough.
-        most = SICK[False] if lost and self.seldom else SICK[self.seldom] * self.middle
+        lost = lost and self.seldom
+        most = SICK[False] if lost else SICK[self.seldom] * self.middle
         if cache.pace > most and sent >= cache.part_at:  # one queue speaks once
             # Guards against load that goes in circles: where a third is slow it is nobody's fault.
             if self.seldom or 3 * sum(c.part < 0.5 for *_, c in self.usable if c != cache) < len(self.usable):
-                part = 1 / 4 if lost and self.seldom else 1 / 2
-                self._set_aside(now, cache, part, f"pace {cache.pace:.1f}")
+                self._set_aside(now, cache, 1 / 4 if lost else 1 / 2, f"pace {cache.pace:.1f}")
         elif part < 1.0 and cache.pace < FINE[self.seldom] * self.middle:
             cache.part, cache.part_at = part * 2, now
 
