--- a/calicofall/__main__.py
+++ b/calicofall/__main__.py
@@ -14,11 +14,11 @@
 
 from calicofall import __version__, words
 
-TOLD = ("PROXY_NAME", "PROXY_LISTEN", "PROXY_DISCOVERY")
+TOLD = ("PROXY_NAME", "PROXY_LISTEN", "PROXY_DISCOVERY", "PROXY_MGMT")
 
 
 def configuration(path: str | None, again: bool = False) -> dict[str, Any]:
-    """What PROXY_CONFIG's file says, with PROXY_NAME, PROXY_LISTEN and PROXY_DISCOVERY before it.
+    """What PROXY_CONFIG's file says, with PROXY_NAME, PROXY_LISTEN, PROXY_DISCOVERY and PROXY_MGMT before it.
 
     Read again, the file goes before them: they tell what held at the start.
     """
@@ -37,6 +37,8 @@
                 raise ValueError(f"{name} is missing")
         words.place(node["listen"])
         words.place(node["discovery"])
+        if node.get("mgmt"):
+            words.check_mgmt(node["mgmt"], node["listen"])
         words.seed(node["seed"])
         if node.get("known"):
             words.listing(node["known"])
--- a/calicofall/facade.py
+++ b/calicofall/facade.py
@@ -16,7 +16,7 @@
 class Router:
     def __init__(self, deployment: dict, seed: int, now: float) -> None:
         self.policy = Policy(deployment, seed, now)
-        self.listed, self.heard = self.policy.listed, self.policy.heard
+        self.listed, self.heard, self.avoided = self.policy.listed, self.policy.heard, self.policy.avoided
         self.hand: dict[str, Rpc] = {}
         self.waits: list[tuple[float, int, Rpc]] = []
         self.count = 0
--- a/calicofall/net/caches.py
+++ b/calicofall/net/caches.py
@@ -16,6 +16,7 @@
 from calicofall import words
 from calicofall.holds import holds
 from calicofall.net import resp
+from calicofall.net.figures import Figures
 from calicofall.net.stream import Stream
 
 EACH = 32  # connections to a cache at most
@@ -55,6 +56,7 @@
         self.eye: poll | None = None
         self.up = self.late = False  # late: an answer is overdue, and nothing has come since
         self.idle_since = 0.0
+        self.unsent: deque[int] = deque()  # where transmissions end that have not gone to the system whole
 
     def opened(self) -> None:
         self.up = True
@@ -74,9 +76,16 @@
 
     def _put(self, sending: Sending) -> None:
         sending.end = self.written + len(sending.data)
+        self.unsent.append(sending.end)
         self.write(sending.data)
         sending.data = b""
 
+    def flush(self) -> None:
+        super().flush()
+        while self.unsent and self.unsent[0] <= self.handed and not self.stuck:
+            self.unsent.popleft()
+            self.pool.caches.figures.sends += 1
+
     def came(self) -> None:
         while not self.closed:
             if not self.queue:
@@ -228,8 +237,9 @@
 
 class Caches:
     def __init__(self, loop: asyncio.AbstractEventLoop, caps: dict, most: int, ahead: bool,
-                 open: Callable, outcome: Callable) -> None:
+                 open: Callable, outcome: Callable, figures: Figures) -> None:
         self.loop, self.most, self.open, self.outcome = loop, max(1, most), open, outcome
+        self.figures = figures
         self.streams = max(1, int(caps.get("streams_per_conn") or 1))
         self.dial = (caps.get("dial_timeout") or 1000.0) / 1000.0
         self.keep = (caps.get("conn_idle") or 30_000.0) / 1000.0 * EARLIER
@@ -238,6 +248,7 @@
         self.shared: Callable[[], bool] = lambda: True  # whether the budget that clients share has room
         self.each = self.most
         self.spoilt, self.tell_at = 0, 0.0
+        self.named: set[str] = set()  # caches in the list, ready or draining
 
     def tell(self, name: str, reason: str) -> None:
         """Few lines about many spoilt answers."""
@@ -260,11 +271,13 @@
     def listed(self, kind: str, entries: list[tuple], addresses: dict[str, str]) -> None:
         """The list as the module has it, too: where each cache is, and whether it is wanted."""
         if kind != "delta":
+            self.named.clear()
             for pool in self.pools.values():
                 pool.wanted = False
         for name, _, _, _, state, _, _ in entries:
             pool = self.pools.get(name) or self.pools.setdefault(name, Pool(self, name))
             pool.wanted = state == "ready"
+            (self.named.discard if state == "gone" else self.named.add)(name)
             try:
                 address = words.place(addresses[name])
             except (KeyError, ValueError):
--- a/calicofall/net/clients.py
+++ b/calicofall/net/clients.py
@@ -16,11 +16,11 @@
 
 PIPELINED = 16  # commands read ahead of their answers
 FAULTS = 8  # wrong commands one after the other that a connection may send
-LINGER = 0.25  # s in which a client may read why its connection ends
 FIRST = 2.1  # s in which a connection's first byte comes
 WHOLE = 2.0  # s in which a command comes whole
 REST = 0.1  # s that a connection between RPCs may rest where many do
 MANY = 8  # of the budget: more than this part of it resting is many
+HASTE = 0.1  # s for both where the proxy has to be empty
 FRESH = 0.25  # s in which a connection without a byte is not yet taken for one that says nothing
 
 
@@ -100,6 +100,8 @@
         name = command[0].upper()
         if name in ARGUMENTS:
             self.clients.ask(turn, [name, *command[1:]])
+        elif name == b"PING" and self.clients.denying:
+            turn.give(resp.fault("ERR emptying"))
         elif name == b"PING" and len(command) <= 2:
             turn.give(resp.bulk(command[1]) if len(command) == 2 else resp.word("PONG"))
         elif name == b"PING":
@@ -125,7 +127,7 @@
             self.write(turn.answer)
         if not self.turns and not self.closed:
             if self.deaf:
-                self.part()
+                self.bow(self.clients.loop)
             elif not self.clients.leaving:
                 self.clients.idle(self)
             elif not len(self.inward):  # what has come is taken, and still answered
@@ -133,12 +135,6 @@
         if self.held and not self.deaf:
             self.clients.loop.call_soon(self.came)
 
-    def part(self) -> None:
-        """The last answer is out. Guards against a close that resets it away: unread input does that."""
-        if self.patience is None and not len(self.outward):
-            self.transport.write_eof()
-            self.patience = self.clients.loop.call_later(LINGER, self.cut)
-
     def pause_writing(self) -> None:
         super().pause_writing()
         # Guards against clients that do not read: the answer has failed, and the cut tells so.
@@ -173,7 +169,10 @@
         self.silent: OrderedDict[Client, float] = OrderedDict()  # since when, as in the two below
         self.resting: OrderedDict[Client, float] = OrderedDict()
         self.halves: OrderedDict[Client, float] = OrderedDict()
-        self.leaving, self.weight, self.halved = False, 0, 0
+        self.leaving = False  # each connection closes behind its next answer
+        self.denying = False  # PING says no
+        self.first, self.whole = FIRST, WHOLE  # s for a first byte; for a command to come whole
+        self.weight, self.halved = 0, 0
         self.others: Callable[[], int] = lambda: 0  # connections that share the budget
 
     def admit(self) -> Client:
@@ -218,10 +217,10 @@
     def sweep(self) -> None:
         """Guards against clients that hold connections without a byte, or with half a command, for good."""
         now = self.loop.time()
-        for client in [client for client, since in self.silent.items() if since < now - FIRST]:
+        for client in [client for client, since in self.silent.items() if since < now - self.first]:
             client.cut()
         self.thin()
-        for client in [client for client, since in self.halves.items() if since < now - WHOLE]:
+        for client in [client for client, since in self.halves.items() if since < now - self.whole]:
             self.refuse(client, "a command that does not end")
 
     def thin(self) -> None:
@@ -249,7 +248,18 @@
         self.resting.pop(client, None)
 
     def part(self) -> None:
-        """Close each connection as soon as it owes no answer."""
-        self.leaving = True
-        for client in [*self.resting, *self.silent]:
+        """Close what rests; who has only just come, or has begun a command, may still ask."""
+        self.first = HASTE
+        for client in [client for client in self.resting if client not in self.halves]:
             client.close()
+
+    def hurry(self) -> None:
+        """From here on nobody keeps us waiting."""
+        self.whole = HASTE
+        self.part()
+        self.sweep()
+
+    def stay(self) -> None:
+        """Connections are kept again: none is marked to close."""
+        self.leaving = self.denying = False
+        self.first, self.whole = FIRST, WHOLE
--- a/calicofall/net/proxy.py
+++ b/calicofall/net/proxy.py
@@ -23,6 +23,9 @@
 from calicofall.net.caches import Caches, Sending
 from calicofall.net.clients import Clients, Turn
 from calicofall.net.discovery import Discovery
+from calicofall.net.emptying import Emptying
+from calicofall.net.figures import Figures
+from calicofall.net.management import Management
 from calicofall.net.stream import Door, connect
 from calicofall.rpc import Rpc
 
@@ -33,6 +36,7 @@
 OFTEN = 0.25  # s between two rounds of upkeep
 WHOLE = 20  # rounds after which all that lives is looked through for what is out of use
 LINGER = 0.5  # s after SIGTERM in which new connections still come
+SAID_OK, SAID_NO = "+OK", "-ERR"  # how an answer to an operator begins
 LAST = 3.45  # s after SIGTERM at which what is still in hand is given up
 log = logging.getLogger("calicofall")
 
@@ -65,12 +69,17 @@
         proxies = deployment.get("proxies") or 1
         # Hundreds of proxies would hold connections to every cache that each of them uses once a minute.
         ahead = proxies <= FEW
+        self.figures = Figures(self.methods, {
+            "current": lambda: len(self.calls), "cluster_size": lambda: len(self.caches.named),
+            "cluster_unhealthy": lambda: self.router.avoided(self.now())})
         self.caches = Caches(loop, deployment["caps"], int((sockets - SPARE) * 0.4), ahead, open,
-                             self.outcome)
+                             self.outcome, self.figures)
         # A command in hand, its way to a cache and its answer each take about as much again.
         room = max(1, words.memory(node) - BASE) << 18
         self.clients = Clients(loop, sockets - SPARE, room, self.patience, self.ask, self.left)
         self.clients.others = self.caches.count
+        self.emptying = Emptying(loop, self.clients)
+        self.management = Management(loop, self.call)
         self.caches.shared = self.clients.room
         known = node.get("known") or {}
         # A chance of its own: the module's is for its decisions alone.
@@ -83,7 +92,6 @@
         self.ticking: asyncio.Handle | None = None
         self.tick_at = float("inf")
         self.times = {name: HdrHistogram(1, 60_000, 2) for name in self.methods}
-        self.answers = dict.fromkeys(("completed", "exhausted", "errored"), 0)
         self.door: Door | None = None
         self.ended = loop.create_future()
         if known:
@@ -124,6 +132,8 @@
         now = self.now()
         method = self.methods[fields["method"]]
         until = now + min(fields["patience"], method["hard_deadline"])
+        # Guards against late requests that hold a connection of a proxy that is to be empty.
+        until = min(until, max(now, self.emptying.ends * 1000.0 + self.offset))
         rpc = Rpc(str(next(self.ids)), fields["method"], fields["tenant"], fields["key"], fields["write"],
                   now, until, fields["repeat"])
         turn.call = call = self.calls[rpc.id] = Call(rpc, turn, parts)
@@ -157,7 +167,7 @@
         holds(turn is not None, "an RPC gets one answer")
         self.over(call)
         if turn is not None:
-            self.answers[rpc.answer] += 1
+            self.figures.answered(rpc.answer, rpc.method)
             self.times[rpc.method].record_value(max(1, round(now - rpc.arrived)))
             turn.give(data)
 
@@ -232,6 +242,8 @@
     async def serve(self, reread: Callable) -> None:
         self.loop.add_signal_handler(signal.SIGHUP, self.reload, reread)
         self.loop.set_exception_handler(self.trouble)
+        if self.node.get("mgmt"):
+            self.management.open(words.place(self.node["mgmt"]))
         self.discovery.start()
         self.upkeep()
         self.soon()
@@ -245,13 +257,14 @@
         log.info("serving", extra={"proxy": self.node["name"], "listen": self.node["listen"],
                                    "caches": len(self.caches.pools)})
         await self.ended
+        self.management.close()
         self.caches.close()
         self.discovery.stop()
         for name, times in self.times.items():
             if times.get_total_count():
                 log.info("answer times", extra={"method": name, "count": times.get_total_count(), **{
                     f"p{part}": times.get_value_at_percentile(part) for part in (50, 90, 99)}})
-        log.info("stopped", extra=self.answers | {"broken": dict(broken) or None})
+        log.info("stopped", extra=self.figures.totals() | {"broken": dict(broken) or None})
 
     def reload(self, reread: Callable) -> None:
         """SIGHUP: the watch moves, all else goes on. A file that cannot be read changes nothing."""
@@ -260,7 +273,7 @@
         except Exception as reason:  # guards against a proxy that ends, or half changes, for a bad file
             log.warning("configuration kept", extra={"reason": str(reason)})
             return
-        held = [name for name in ("name", "listen", "limits", "settings")
+        held = [name for name in ("name", "listen", "mgmt", "limits", "settings")
                 if node.get(name) != self.node.get(name)]
         self.discovery.move(node["discovery"])
         log.info("configuration reread", extra={"discovery": node["discovery"],
@@ -271,18 +284,52 @@
         trace = reason if isinstance(reason, Exception) and not isinstance(reason, OSError) else None
         log.error("trouble", extra={"what": context.get("message"), "reason": repr(reason)}, exc_info=trace)
 
+    # Where operators call
+
+    def call(self, name: str) -> str:
+        """The answer to an operator's call; what it asks for is done by then."""
+        if name == "health":
+            return f"{SAID_OK} serving" if self.serving() else f"{SAID_NO} {self.state()}"
+        if name == "counters":
+            return "\n".join([SAID_OK, *self.figures.lines(), "."])
+        if name == "quiesce":
+            if self.door is None:
+                return f"{SAID_NO} {self.state()}"
+            if self.emptying.began is None:
+                self.say("emptying")
+            self.emptying.begin()
+            return f"{SAID_OK} emptying"
+        if name == "resume":
+            if not self.emptying.end():
+                return f"{SAID_NO} terminating"
+            self.say("resumed")
+            return f"{SAID_OK} {self.state()}"
+        return f"{SAID_NO} unknown call: health, counters, quiesce or resume"
+
+    def serving(self) -> bool:
+        return self.door is not None and self.emptying.began is None
+
+    def state(self) -> str:
+        return "starting" if self.door is None else "serving" if self.serving() else "emptying"
+
+    def say(self, event: str) -> None:
+        log.info(event, extra={"calls": len(self.calls), "clients": len(self.clients.open)})
+
+    # The way out
+
     def terminate(self) -> None:
-        log.info("draining", extra={"calls": len(self.calls), "clients": len(self.clients.open)})
         for name in (signal.SIGTERM, signal.SIGINT):  # once is enough
             self.loop.add_signal_handler(name, lambda: None)
+        self.say("draining")
+        self.emptying.begin(rest=LINGER)
+        self.emptying.final = True
         self.loop.call_later(LINGER, self.part)
+        self.loop.call_later(LAST, self.hasten)
 
     def part(self) -> None:
-        """Nothing new: connections close once they owe no answer, and the proxy ends with the last."""
+        """Nothing new, and the proxy ends with its last connection."""
         self.door.close()
-        self.clients.part()
         self.leave()
-        self.loop.call_later(LAST - LINGER, self.hasten)
 
     def hasten(self) -> None:
         """Guards against being killed with RPCs in hand: their time ends, the module answers."""
--- a/calicofall/net/stream.py
+++ b/calicofall/net/stream.py
@@ -15,6 +15,7 @@
 from calicofall.net.buffer import RingBuffer
 
 CHUNK = 1 << 16
+LINGER = 0.25  # s in which a peer may read why its connection ends
 WAITING = 512  # connections that the system holds until they are taken
 A_TURN = 16  # taken in one turn of the loop
 BREATH = 0.05  # s until the next try where there was no room
@@ -29,6 +30,7 @@
         self.stuck = self.closed = self.closing = False
         self.why = "closed"  # what ended it
         self.rising: asyncio.Task | None = None  # while it comes up
+        self.bowing: asyncio.TimerHandle | None = None  # its last bytes are out
         self.written = self.handed = 0  # bytes put into the outward buffer; of these, given to the transport
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -90,11 +92,19 @@
             self.closing = True
             self.flush()
 
+    def bow(self, loop: asyncio.AbstractEventLoop) -> None:
+        """The last answer is out. Guards against a close that resets it away: unread input does that."""
+        if self.bowing is None and not self.closed and not len(self.outward):
+            self.transport.write_eof()
+            self.bowing = loop.call_later(LINGER, self.cut)
+
     def cut(self) -> None:
         """Close at once; what has not left is lost."""
         if self.closed:
             return
         self.closed = True
+        if self.bowing is not None:
+            self.bowing.cancel()
         if self.transport is not None:
             # Guards against a second copy: an abort alone leaves the socket open until the loop's next turn.
             plug = self.transport.get_extra_info("socket")
--- a/calicofall/policy.py
+++ b/calicofall/policy.py
@@ -112,8 +112,7 @@
         fade = exp((self.noted_at - now) / LATELY)
         return self.sum * fade / (self.mass * fade + PRIOR)
 
-    def trickle(self, now: float) -> float:
-        """The part of its RPCs that it is sent: twice as much after a while, if nothing speaks against it."""
+    def trickle(self, now: float) -> float:  # the part of its RPCs that it is sent, which doubles in silence
         return 1.0 if self.part >= 1.0 else self.part * 2.0 ** ((now - self.part_at) / DOUBLES)
 
 
@@ -303,6 +302,9 @@
             cache.clear()
         return part >= 1.0 or self.chance.random() < part
 
+    def avoided(self, now: float) -> int:  # how many ready caches get less than half of what they own
+        return sum(cache.trickle(now) < 0.5 for *_, cache in self.usable)
+
     def _refresh(self, now: float) -> None:
         self.weights = {c.name: self._weight(now, c) for c in self.caches.values() if c.ready}
         self.usable = [(c.salt, -self.weights[c.name], c) for c in self.caches.values() if c.ready]
@@ -397,10 +399,9 @@
         purse = self.purse[rpc.tenant]
         rate, most = quota * self.scale, PURSE[self.proxies > SELDOM]
         purse[:] = min(rate * 1000.0 + most, purse[0] + rate * (now - purse[1])), now
-        if purse[0] >= 1.0:
-            purse[0] -= 1.0
-            return True
-        return False
+        fits = purse[0] >= 1.0
+        purse[0] -= fits
+        return fits
 
     def _room(self, now: float, limit: Limit, rpc: Rpc) -> bool:
         """Whether this RPC finds room: over its share first out, then by least gain."""
--- a/calicofall/words.py
+++ b/calicofall/words.py
@@ -124,6 +124,14 @@
     return host, int(port)
 
 
+def check_mgmt(address: Any, listen: str) -> None:
+    """Raises where operators cannot call, or would call at the clients' address."""
+    if not isinstance(address, str):
+        raise ValueError(f"mgmt is {address!r}: an address would be right")
+    if place(address) == place(listen):
+        raise ValueError(f"mgmt is {address!r}, the same as listen: another port would be right")
+
+
 def rpc_fields(parts: list[bytes], methods: dict, tenants: set[str]) -> dict[str, Any]:
     """What a client's command asks for: method, tenant, key, write, patience (ms), repeat."""
     if len(parts) != ARGUMENTS[parts[0]]:
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -194,6 +194,10 @@
         """A connection to a cache that was asked for comes up."""
         return Wire(self.loop.opened[number][0], room)
 
+    def sigterm(self) -> None:
+        self.loop.add_signal_handler = lambda *_: None
+        self.proxy.terminate()
+
     def list(self, *endpoints: dict, index: int = 2) -> None:
         self.proxy.told(*words.listing({"index": index, "snapshot": False, "endpoints": list(endpoints)}))
 
--- /dev/null
+++ b/tests/test_operation.py
@@ -0,0 +1,256 @@
+"""Where operators call, the figures, emptying: on fake transports and time."""
+
+from collections import Counter
+from random import Random
+
+import pytest
+from helpers import Desk, Wire, ask, endpoint, reply
+
+from calicofall.net import emptying, resp
+from calicofall.net.management import CALLERS, LONGEST, PATIENCE
+
+PING = resp.command([b"PING"])
+
+
+def call(desk: Desk, data: bytes) -> bytes:
+    caller = Wire(desk.proxy.management.admit())
+    caller.feed(data)
+    return caller.sent
+
+
+def figures(desk: Desk) -> dict[str, int]:
+    first, *lines, last, end = call(desk, b"counters\n").decode().split("\n")
+    assert (first, last, end) == ("+OK", ".", "")
+    return {line.partition(":")[0]: int(line.partition(":")[2].partition("|")[0]) for line in lines}
+
+
+@pytest.mark.parametrize("data,said", [
+    (b"health\n", b"+OK serving\n"), (b"health\r\n", b"+OK serving\n"), (b"quiesce\n", b"+OK emptying\n"),
+    (b"resume\n", b"+OK serving\n"), (b"\n", b"-ERR unknown call"), (b"\r\n", b"-ERR unknown call"),
+    (b"HEALTH\n", b"-ERR unknown call"), (b"health now\n", b"-ERR unknown call"),
+    (b"\xff\xfe\n", b"-ERR not ASCII"), (b"x" * (LONGEST + 1), b"-ERR a line too long"),
+    (b"x" * 9000 + b"\n", b"-ERR a line too long"),
+    (b"health\nquiesce\n", b"+OK serving\n"), (b"*1\r\n$4\r\nPING\r\n", b"-ERR unknown call")])
+def test_one_line_has_one_answer_and_a_close(data: bytes, said: bytes) -> None:
+    desk = Desk()
+    caller = Wire(desk.proxy.management.admit())
+    caller.feed(data)
+    assert caller.sent.startswith(said) and caller.sent.count(b"\n") == 1
+    desk.loop.run(0.3)
+    assert not caller.open and not desk.proxy.management.callers
+    assert (desk.proxy.emptying.began is not None) is (data == b"quiesce\n")
+
+
+def test_a_line_in_pieces_is_read_and_half_a_line_leaves_no_trace() -> None:
+    desk = Desk()
+    caller, half = (Wire(desk.proxy.management.admit()) for _ in range(2))
+    for piece in (b"hea", b"l", b"th\r", b"\n"):
+        assert not caller.sent
+        caller.feed(piece)
+    assert caller.sent == b"+OK serving\n"
+    half.feed(b"quie")
+    half.stream.eof_received()
+    assert not half.open and not half.sent and desk.proxy.emptying.began is None
+
+
+def test_callers_that_finish_no_call_hold_up_nobody() -> None:
+    """They would have kept the descriptors there are, or the address to themselves."""
+    desk = Desk()
+    slow = []
+    for _ in range(CALLERS):
+        assert desk.proxy.management.room()
+        slow.append(Wire(desk.proxy.management.admit()))
+        slow[-1].feed(b"coun")
+    assert desk.proxy.management.room()
+    assert not slow[0].open and all(caller.open for caller in slow[1:])  # the oldest goes for the next
+    assert call(desk, b"health\n") == b"+OK serving\n"
+    desk.loop.run(4.5)
+    assert all(caller.open for caller in slow[1:])
+    slow[1].feed(b"ters\n")
+    assert slow[1].sent.startswith(b"+OK\nproxy.")
+    desk.loop.run(PATIENCE - 4.4)
+    assert slow[2].sent == b"-ERR no call came\n"
+    desk.loop.run(0.3)
+    assert not any(caller.open for caller in slow)
+
+
+def test_health_is_no_before_the_proxy_serves() -> None:
+    desk = Desk()
+    desk.proxy.door = None
+    assert call(desk, b"health\n") == b"-ERR starting\n"
+    assert call(desk, b"quiesce\n") == b"-ERR starting\n"
+
+
+def test_all_figures_are_there_from_zero() -> None:
+    desk = Desk()
+    told = figures(desk)
+    assert told == {f"proxy.{name}.{method}": 0 for name in ("answered", "deferred", "errored")
+                    for method in ("read", "save", "order")} | {
+        "proxy.sends": 0, "proxy.current": 0, "proxy.cluster_size": 3, "proxy.cluster_unhealthy": 0}
+    desk.list(endpoint("c1", "DRAINING"), endpoint("c2", "DELETED"), endpoint("c9"))
+    assert figures(desk)["proxy.cluster_size"] == 3
+    assert b"|c\n" in call(desk, b"counters\n") and b"proxy.current:0|g\n" in call(desk, b"counters\n")
+
+
+def test_what_the_module_avoids_is_said_by_its_own_state() -> None:
+    desk = Desk(caches=4)
+    policy, now = desk.proxy.router.policy, desk.proxy.now()
+    policy._set_aside(now, policy.caches["c1"], 1 / 4, "")
+    policy._set_aside(now, policy.caches["c2"], 1 / 2, "")
+    assert figures(desk)["proxy.cluster_unhealthy"] == 1
+    desk.loop.run(5.1)  # its part doubles in silence
+    assert figures(desk)["proxy.cluster_unhealthy"] == 0
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_figures_agree_with_an_independent_count(seed: int) -> None:
+    """Clients leave, caches answer, turn away, break, and take half of what is written to them."""
+    chance, desk = Random(seed), Desk(caches=4)
+    clients, lines, seen, left = [desk.client() for _ in range(12)], [], Counter(), 0
+
+    def whole(line: Wire) -> int:
+        """Commands that a cache has got whole, read by the protocol's page and nothing of ours."""
+        data, count = line.sent[:line.room], 0  # a full socket has taken no more
+        while data.startswith(b"*"):
+            members, _, data = data.partition(b"\r\n")
+            for _ in range(int(members[1:])):
+                size, _, data = data.partition(b"\r\n")
+                if len(data) < int(size[1:]) + 2:
+                    return count
+                data = data[int(size[1:]) + 2:]
+            count += 1
+        return count
+
+    for _ in range(1500):
+        while len(lines) < len(desk.loop.opened):
+            stream = desk.loop.opened[len(lines)][0]
+            room = chance.choice([None, None, 30_000])
+            lines.append(None if stream.closed else desk.line(len(lines), room))
+        for line in [line for line in lines[-40:] if line is not None and line.open and line.stream.queue]:
+            if line.room is not None and len(line.sent) > line.room:
+                if chance.random() < 0.3:
+                    line.room = None
+                    line.stream.resume_writing()
+            elif chance.random() < 0.3:
+                line.feed(chance.choice([reply(), reply(), b"-BUSY\r\n", b"-ERR failed\r\n", b"?\r\n"]))
+            elif chance.random() < 0.05:
+                line.abort()
+        client = chance.choice(clients)
+        if client.open and not client.stream.turns and not client.sent:
+            client.method = chance.choice(["read", "save", "order"])
+            patience = str(chance.randrange(50, 900))
+            client.feed(ask(client.method, chance.randrange(9), patience, bytes(50_000)))
+        elif chance.random() < 0.03 and client.stream.turns:
+            clients[clients.index(client)] = desk.client()
+            client.abort()
+            left += 1
+        desk.loop.run(0.01)
+        for client in [client for client in clients if client.sent]:
+            kind = {b"$": "answered", b"-": "errored"}[client.sent[:1]]
+            seen["deferred" if client.sent.startswith(b"-BUSY") else kind, client.method] += 1
+            client.take()
+        told = figures(desk)
+        assert told["proxy.current"] == sum(len(client.stream.turns) for client in clients)
+    told = figures(desk)
+    for (kind, method), count in seen.items():
+        assert told[f"proxy.{kind}.{method}"] == count
+    assert left and sum(seen.values()) == sum(n for name, n in told.items() if name.count(".") == 2)
+    assert told["proxy.sends"] == sum(map(whole, [line for line in lines if line]))
+
+
+def test_emptying_says_no_closes_behind_answers_and_comes_back() -> None:
+    desk = Desk().spacious()
+    desk.proxy.upkeep()
+    probe, busy, resting = desk.client(), desk.client(), desk.client()
+    resting.feed(PING)
+    assert resting.take() == b"+PONG\r\n"
+    busy.feed(ask())
+    assert call(desk, b"quiesce\n") == call(desk, b"quiesce\n") == b"+OK emptying\n"
+    assert call(desk, b"health\n") == b"-ERR emptying\n"
+    probe.feed(PING)
+    assert probe.sent == b"-ERR emptying\r\n" and not probe.open
+    desk.line(0).feed(reply(b"last"))
+    assert busy.sent == b"$4\r\nlast\r\n" and not busy.open
+    assert resting.open
+    late = desk.client()  # the front goes on sending for a while
+    desk.loop.run(0.2)
+    late.feed(ask())
+    desk.loop.run(0.3)
+    assert not resting.open and late.open  # it is owed an answer
+    kept = desk.client()
+    kept.feed(ask()[:20])
+    assert call(desk, b"resume\n") == b"+OK serving\n" == call(desk, b"resume\n")
+    assert call(desk, b"health\n") == b"+OK serving\n"
+    desk.loop.opened[-1][0].transport or desk.line()
+    for opened, _ in desk.loop.opened:
+        if opened.queue:
+            opened.transport.feed(reply(b"kept"))
+    assert late.take() == b"$4\r\nkept\r\n" and late.open  # nothing is marked to close
+    late.feed(PING)
+    assert late.sent == b"+PONG\r\n"
+    desk.loop.run(1.0)
+    assert late.open and kept.open
+
+
+def test_what_comes_late_holds_no_connection_four_seconds_after_the_call() -> None:
+    """New requests, half commands and silent connections until the end: all gone in time, all answered."""
+    desk = Desk(methods=[method | {"hardDeadlineNs": 9_000_000_000}
+                         for method in Desk().proxy.node["settings"]["methods"]]).spacious()
+    desk.proxy.upkeep()
+    begun = desk.client()
+    begun.feed(ask(patience="9000"))  # in hand before: it keeps its deadline
+    call(desk, b"quiesce\n")
+    asked = []
+    for step in range(39):
+        desk.loop.run(0.1)
+        asked.append(desk.client())
+        asked[-1].feed([ask(patience="9000"), ask()[:30], b""][step % 3])
+    desk.loop.run(0.1)
+    held = [client for client in asked if client.open and not client.stream.bowing]  # no close is under way
+    assert all(client in asked[-3:] for client in held) and begun.open
+    assert all(client.sent.startswith(b"-BUSY") for client in asked[:-3:3])
+    assert all(client.sent.startswith(b"-ERR") for client in asked[1:-3:3])
+    desk.loop.run(0.6)
+    assert not any(client.open for client in asked) and begun.open and not begun.sent
+
+
+def test_an_rpc_that_waits_in_the_module_is_answered_while_emptying() -> None:
+    desk = Desk()
+    policy = desk.proxy.router.policy
+    policy.where, where = (lambda now, rpc: ("wait", 15.0)), policy.where
+    client = desk.client()
+    client.feed(ask() + PING)
+    call(desk, b"quiesce\n")
+    desk.loop.run(0.1)
+    policy.where = where
+    desk.loop.run(0.1)
+    desk.line().feed(reply(b"late"))
+    assert client.sent == b"$4\r\nlate\r\n+PONG\r\n" and not client.open
+
+
+def test_sigterm_while_emptying_ends_and_has_no_way_back() -> None:
+    desk = Desk()
+    desk.proxy.upkeep()
+    call(desk, b"quiesce\n")
+    desk.loop.run(10.0)
+    assert not desk.proxy.ended.done()  # the proxy does not exit
+    desk.sigterm()
+    assert call(desk, b"resume\n") == b"-ERR terminating\n"
+    assert call(desk, b"health\n") == b"-ERR emptying\n"
+    desk.loop.run(1.0)
+    assert desk.proxy.ended.done()
+
+
+def test_emptying_again_after_resume_takes_its_whole_time() -> None:
+    """A step that was left to come from the first time would close connections of the second."""
+    desk = Desk()
+    call(desk, b"quiesce\n")
+    desk.loop.run(emptying.REST - 0.1)
+    call(desk, b"resume\n")
+    resting = desk.client()
+    resting.feed(PING)
+    call(desk, b"quiesce\n")
+    desk.loop.run(emptying.REST - 0.1)
+    assert resting.open
+    desk.loop.run(0.2)
+    assert not resting.open
