--- a/calicofall/facade.py
+++ b/calicofall/facade.py
@@ -57,6 +57,10 @@
                 return rpc
         return None
 
+    def shared(self, parts: int) -> None:
+        """How many processes this proxy has now, each with one such part."""
+        self.policy.parts = parts
+
     def tick(self, now: float) -> float:
         """After what happened at one time: gathers lines and chores; ms until the next tick."""
         wait, errands = self.policy.wait(now)
--- a/calicofall/net/caches.py
+++ b/calicofall/net/caches.py
@@ -262,12 +262,23 @@
 
     def room(self) -> bool:
         """Whether one more connection may be opened: the one that rested longest goes for it, if need be."""
-        if self.count() >= self.most:
-            resting = [line for pool in self.pools.values() for line in pool.lines if line.rests]
-            if resting:
-                min(resting, key=lambda line: line.idle_since).cut()
+        self.thin(self.most - 1)
         return self.count() < self.most and self.shared()
 
+    def thin(self, most: int) -> None:
+        """Close what rests over a number of connections, the longest first."""
+        over = self.count() - most
+        if over > 0:
+            resting = [line for pool in self.pools.values() for line in pool.lines if line.rests]
+            for line in sorted(resting, key=lambda line: line.idle_since)[:over]:
+                line.cut()
+
+    def allow(self, most: int) -> None:
+        """Another budget of connections."""
+        self.most = max(1, most)
+        self.each = max(1, min(EACH, self.most // max(1, len(self.pools))))
+        self.thin(self.most)
+
     def listed(self, kind: str, entries: list[tuple], addresses: dict[str, str]) -> None:
         """The list as the module has it, too: where each cache is, and whether it is wanted."""
         if kind != "delta":
--- a/calicofall/net/clients.py
+++ b/calicofall/net/clients.py
@@ -192,6 +192,12 @@
             idle.cut()
         return idle is not None
 
+    def give_back(self, most: int) -> None:
+        """A smaller budget: what rests longest goes for it."""
+        self.most = max(1, most)
+        while self.resting and len(self.open) + self.others() > self.most:
+            next(iter(self.resting)).cut()
+
     def heard(self, client: Client) -> None:
         if self.silent.pop(client, None) is not None:
             self.resting[client] = self.loop.time()
--- a/calicofall/net/discovery.py
+++ b/calicofall/net/discovery.py
@@ -120,7 +120,7 @@
         self.first, self.longest = FIRST_PAUSE * proxies, min(longest, max(1.0, LONGEST_PAUSE * proxies))
         self.pause = 0.0  # s before the next try
         self.again: asyncio.TimerHandle | None = None  # the next try
-        self.stopped = self.down = False
+        self.stopped = self.down = self.heard = False  # heard: the agent has told the list
 
     def start(self) -> None:
         if not self.stopped:
@@ -138,7 +138,7 @@
             self.loop.call_later(left, self.listen, watch)
 
     def told(self, kind: str, index: int | None, entries: list[tuple], addresses: dict[str, str]) -> None:
-        self.pause = 0.0
+        self.pause, self.heard = 0.0, True
         if self.down:
             self.down = False
             log.info("list watch back", extra={"index": index})
--- a/calicofall/net/emptying.py
+++ b/calicofall/net/emptying.py
@@ -9,6 +9,7 @@
 from calicofall.net.clients import Clients
 
 REST = 0.45  # s from the beginning until resting connections close: the front has turned away by then
+TAKEN = 2.5  # s until then where another process has taken over: the more of them close behind an answer
 LATE = 3.2  # s from the beginning, after which a connection without a whole command closes at once
 AGAIN = 0.1  # s between two looks at them from then on
 ENDS = 3.6  # s from the beginning by which all that came meanwhile is answered
--- a/calicofall/net/proxy.py
+++ b/calicofall/net/proxy.py
@@ -8,6 +8,7 @@
 import gc
 import logging
 import signal
+import tempfile
 import time
 from collections.abc import Callable
 from itertools import count
@@ -23,8 +24,9 @@
 from calicofall.net.caches import Caches, Sending
 from calicofall.net.clients import Clients, Turn
 from calicofall.net.discovery import Discovery
-from calicofall.net.emptying import Emptying
+from calicofall.net.emptying import TAKEN, Emptying
 from calicofall.net.figures import Figures
+from calicofall.net.lease import Lease
 from calicofall.net.management import Management
 from calicofall.net.stream import Door, connect
 from calicofall.rpc import Rpc
@@ -37,6 +39,7 @@
 WHOLE = 20  # rounds after which all that lives is looked through for what is out of use
 LINGER = 0.5  # s after SIGTERM in which new connections still come
 SAID_OK, SAID_NO = "+OK", "-ERR"  # how an answer to an operator begins
+HEARD = 1.0  # s in which a process that replaces another waits for the list
 LAST = 3.45  # s after SIGTERM at which what is still in hand is given up
 log = logging.getLogger("calicofall")
 
@@ -63,8 +66,8 @@
         self.tenants = {tenant["name"] for tenant in deployment.get("tenants") or []}
         self.asks = deployment.get("discovery") == "ask"
         seed = words.seed(node["seed"])
+        self.lease: Lease | None = None
         self.router = Router(deployment, seed, self.now())
-        sockets = words.sockets(node)
         self.patience = max([m["hard_deadline"] for m in self.methods.values()], default=3000.0) / 1000.0
         proxies = deployment.get("proxies") or 1
         # Hundreds of proxies would hold connections to every cache that each of them uses once a minute.
@@ -72,11 +75,9 @@
         self.figures = Figures(self.methods, {
             "current": lambda: len(self.calls), "cluster_size": lambda: len(self.caches.named),
             "cluster_unhealthy": lambda: self.router.avoided(self.now())})
-        self.caches = Caches(loop, deployment["caps"], int((sockets - SPARE) * 0.4), ahead, open,
-                             self.outcome, self.figures)
-        # A command in hand, its way to a cache and its answer each take about as much again.
-        room = max(1, words.memory(node) - BASE) << 18
-        self.clients = Clients(loop, sockets - SPARE, room, self.patience, self.ask, self.left)
+        sockets, of_caches, room = self.budget(1)
+        self.caches = Caches(loop, deployment["caps"], of_caches, ahead, open, self.outcome, self.figures)
+        self.clients = Clients(loop, sockets, room, self.patience, self.ask, self.left)
         self.clients.others = self.caches.count
         self.emptying = Emptying(loop, self.clients)
         self.management = Management(loop, self.call)
@@ -98,9 +99,21 @@
             _, index, entries, addresses = words.listing(known)
             self.news("cached", index, entries, addresses)
 
+    def budget(self, parts: int) -> tuple[int, int, int]:
+        """Connections, those to caches at most, bytes of commands in hand: of one of so many processes."""
+        sockets = max(8, words.sockets(self.node) // parts - SPARE)
+        # A command in hand, its way to a cache and its answer each take about as much again.
+        return sockets, int(sockets * 0.4), max(1, words.memory(self.node) // parts - BASE) << 18
+
     def now(self) -> float:
         return self.loop.time() * 1000.0 + self.offset
 
+    async def listed(self) -> None:
+        """Another process serves meanwhile: there is time to hear what the list says now."""
+        ends = self.loop.time() + HEARD
+        while not self.discovery.heard and self.loop.time() < ends:
+            await asyncio.sleep(0.02)
+
     # What the list says
 
     def told(self, kind: str, index: int | None, entries: list[tuple], addresses: dict[str, str]) -> None:
@@ -228,7 +241,18 @@
         self.tick_at = self.loop.time() + min(wait, 60_000.0) / 1000.0
         self.ticking = self.loop.call_at(self.tick_at, self.tick)
 
+    def share(self) -> None:
+        """While another process of this proxy lives, both keep to the limits of one."""
+        if self.lease is not None and self.lease.look():
+            parts = self.lease.others + 1
+            log.info("processes", extra={"count": parts, "serving": self.lease.serving + self.serving()})
+            sockets, of_caches, self.clients.ahead = self.budget(parts)
+            self.caches.allow(of_caches)
+            self.clients.give_back(sockets)
+            self.router.shared(parts)
+
     def upkeep(self) -> None:
+        self.share()
         self.caches.retire()
         self.clients.sweep()
         # Guards against growth: asyncio's transports are cycles, which live on in the older generations
@@ -244,6 +268,7 @@
         self.loop.set_exception_handler(self.trouble)
         if self.node.get("mgmt"):
             self.management.open(words.place(self.node["mgmt"]))
+        self.lease = Lease(self.node["name"], tempfile.gettempdir())
         self.discovery.start()
         self.upkeep()
         self.soon()
@@ -251,12 +276,18 @@
         gc.collect()
         gc.freeze()
         gc.set_threshold(20_000, 50, 1000)
-        self.door = Door(self.loop, words.place(self.node["listen"]), self.clients.room, self.clients.admit)
+        if self.lease.others:
+            await self.listed()
+        # Last: from here on connections are dealt to this process, too.
+        self.door = Door(self.loop, words.place(self.node["listen"]), self.clients.room, self.clients.admit,
+                         shared=True)
+        self.lease.serve()
         self.loop.add_signal_handler(signal.SIGTERM, self.terminate)
         self.loop.add_signal_handler(signal.SIGINT, self.terminate)
         log.info("serving", extra={"proxy": self.node["name"], "listen": self.node["listen"],
                                    "caches": len(self.caches.pools)})
         await self.ended
+        self.lease.release()
         self.management.close()
         self.caches.close()
         self.discovery.stop()
@@ -321,9 +352,16 @@
         for name in (signal.SIGTERM, signal.SIGINT):  # once is enough
             self.loop.add_signal_handler(name, lambda: None)
         self.say("draining")
-        self.emptying.begin(rest=LINGER)
+        self.share()
         self.emptying.final = True
-        self.loop.call_later(LINGER, self.part)
+        if self.lease is not None and self.lease.serving:
+            # Clients have another process of this proxy to go to: PING goes on saying yes for it.
+            self.emptying.begin(rest=TAKEN, deny=False)
+            self.door.empty()
+            self.part()
+        else:
+            self.emptying.begin(rest=LINGER)
+            self.loop.call_later(LINGER, self.part)
         self.loop.call_later(LAST, self.hasten)
 
     def part(self) -> None:
--- a/calicofall/net/stream.py
+++ b/calicofall/net/stream.py
@@ -156,9 +156,10 @@
     """
 
     def __init__(self, loop: asyncio.AbstractEventLoop, place: tuple[str, int], room: Callable[[], bool],
-                 make: Callable[[], Stream]) -> None:
+                 make: Callable[[], Stream], shared: bool = False) -> None:
         self.loop, self.room, self.make = loop, room, make
-        self.plug = socket.create_server(place, backlog=WAITING)
+        # Shared: another process of this proxy may listen there, too, while one replaces the other.
+        self.plug = socket.create_server(place, backlog=WAITING, reuse_port=shared)
         self.plug.setblocking(False)
         self.resume()
 
@@ -191,6 +192,12 @@
             plug.close()
             stream.cut()
 
+    def empty(self) -> None:
+        """Takes all that wait, room or not. Guards against their being reset when the listener closes."""
+        with suppress(OSError):
+            while True:
+                self._take(self.plug.accept()[0], self.make())
+
     def close(self) -> None:
         if self.plug.fileno() >= 0:
             self.loop.remove_reader(self.plug.fileno())
--- a/calicofall/policy.py
+++ b/calicofall/policy.py
@@ -165,7 +165,7 @@
         self.purse = {name: [PURSE[self.proxies > SELDOM] * self.chance.random(), now] for name in self.quota}
         self.paces: dict[str, Ring] = {}  # by kind of machine: one proxy meets a cache too seldom
         self.zones: dict[str, list] = {}  # when last heard of; caches that have not answered since
-        self.born, self.seldom = now, self.proxies > SELDOM
+        self.born, self.seldom, self.parts = now, self.proxies > SELDOM, 1  # processes of this proxy
         self.swift: dict[str, float] = {}  # what a kind can be sent beside its weight, for answers as fast
         self.scale, self.middle, self.slowest = 1.0, 1.0, inf  # slowest: the longest usual time of a method
         top = max((method.get("gain") or 1.0 for method in self.methods.values()), default=1.0)
@@ -389,7 +389,7 @@
         span = min(now - self.born, now - self.keys_at + 2 * KEYS)
         seen = (asked, span), (cache.wishes.count(now), min(now - cache.started, 16_000.0))
         wished = max([wished, *(count / max(1000.0, over) for count, over in seen if count >= 2)])
-        return self.chance.random() * wished < COLD_PART[self.seldom] * part * rate
+        return self.chance.random() * wished < COLD_PART[self.seldom] * part * rate / self.parts
 
     def _share(self, now: float, rpc: Rpc) -> bool:
         """Whether this RPC lies within its tenant's share, by this proxy's part of the quota."""
