--- /dev/null
+++ b/tests/test_lease.py
@@ -0,0 +1,180 @@
+"""Leases: how processes of one proxy know of each other, and what both together may take."""
+
+import fcntl
+import os
+from pathlib import Path
+
+import pytest
+from helpers import Desk, ask, endpoint, reply
+
+from calicofall.net import emptying, resp
+from calicofall.net import lease as leases
+from calicofall.net.clients import Clients
+from calicofall.net.lease import Lease
+from calicofall.net.proxy import SPARE
+
+
+def test_processes_of_one_proxy_know_of_each_other_and_who_serves(tmp_path: Path) -> None:
+    first, stranger = Lease("n0", str(tmp_path)), Lease("n1", str(tmp_path))
+    assert not first.look() and first.others == 0
+    first.serve()
+    second = Lease("n0", str(tmp_path))
+    assert second.look() and (second.others, second.serving) == (1, 1)
+    assert first.look() and (first.others, first.serving) == (1, 0)
+    second.serve()
+    assert not first.look() and first.serving == 1
+    first.release()
+    assert second.look() and second.others == 0
+    second.release()
+    stranger.release()
+    assert not list(tmp_path.iterdir())
+
+
+def test_what_a_killed_process_left_behind_means_nothing_and_goes(tmp_path: Path) -> None:
+    """A file alone would have kept the next process to half of its limits for good."""
+    lease = Lease("n0", str(tmp_path))
+    left = tmp_path / f"{lease.prefix}dead"
+    left.write_bytes(leases.SERVES)
+    assert not lease.look() and not left.exists() and len(list(tmp_path.iterdir())) == 1
+
+
+def test_a_file_taken_for_nobodys_before_it_was_locked_is_made_anew(
+        tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    make, made = leases.mkstemp, []
+
+    def robbed(**where: str) -> tuple[int, str]:
+        made.append(make(**where))
+        if len(made) == 1:
+            os.unlink(made[0][1])
+        return made[-1]
+
+    monkeypatch.setattr(leases, "mkstemp", robbed)
+    lease, other = Lease("n0", str(tmp_path)), Lease("n0", str(tmp_path))
+    assert len(made) == 3 and other.look() and other.others == 1 and lease.path == made[1][1]
+
+
+def test_without_a_folder_or_a_lock_the_sharing_alone_is_lost(
+        tmp_path: Path, monkeypatch: pytest.MonkeyPatch, caplog: pytest.LogCaptureFixture) -> None:
+    missing = Lease("n0", str(tmp_path / "missing"))
+    assert not missing.look() and not missing.look() and missing.others == 0
+    missing.serve()
+    missing.release()
+    assert [record.message for record in caplog.records] == ["no lease"]  # once
+
+    def refused(_file: int, _how: int) -> None:
+        raise OSError(37, "no locks available")
+
+    monkeypatch.setattr(fcntl, "flock", refused)
+    lease = Lease("n0", str(tmp_path))
+    assert not lease.look() and lease.file == -1 and not list(tmp_path.iterdir())
+
+
+def test_a_full_folder_leaves_a_process_that_serves(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    lease = Lease("n0", str(tmp_path))
+
+    def full(_file: int, _data: bytes, _at: int) -> None:
+        raise OSError(28, "no space left")
+
+    monkeypatch.setattr(os, "pwrite", full)
+    lease.serve()
+    other = Lease("n0", str(tmp_path))
+    assert other.file == -1 and other.look() and (other.others, other.serving) == (1, 0)
+    lease.release()
+    assert not list(tmp_path.iterdir())
+
+
+def pair(tmp_path: Path, desk: Desk) -> Lease:
+    desk.proxy.lease = Lease("n0", str(tmp_path))
+    other = Lease("n0", str(tmp_path))
+    other.serve()
+    return other
+
+
+def test_two_processes_keep_to_the_limits_of_one(tmp_path: Path) -> None:
+    desk = Desk(caches=3, sockets=256).spacious()
+    clients = [desk.client() for _ in range(120)]
+    for client in clients:
+        client.feed(resp.command([b"PING"]))
+    desk.proxy.clients.thin = lambda: None
+    busy = clients[:30]
+    for number, client in enumerate(busy):
+        client.feed(ask(key=number))
+    lines = [desk.line(number) for number in range(len(desk.loop.opened))]
+    assert desk.proxy.caches.count() == 30
+    other = pair(tmp_path, desk)
+    desk.proxy.share()
+    most = 256 // 2 - SPARE
+    assert len(desk.proxy.clients.open) + desk.proxy.caches.count() <= most
+    assert all(client.open for client in busy)  # what rests goes, the longest first
+    assert desk.proxy.router.policy.parts == 2
+    for line in lines:
+        line.feed(reply())
+    assert all(client.sent.endswith(b"$5\r\nfresh\r\n") for client in busy)
+    assert desk.proxy.clients.ahead < Desk().proxy.clients.ahead
+    other.release()
+    desk.proxy.share()
+    assert desk.proxy.clients.most == 256 - SPARE and desk.proxy.router.policy.parts == 1
+
+
+def test_a_cold_cache_gets_from_two_processes_what_it_gets_from_one() -> None:
+    """The new process knows nothing of what the old one sends: each takes half of the part."""
+    sent = {}
+    for parts in (1, 2):
+        desk = Desk(caches=2).spacious()
+        policy = desk.proxy.router.policy
+        desk.list(endpoint("c1") | {"since_ms": desk.proxy.now()}, endpoint("c3") | {"since_ms": 1})
+        desk.proxy.router.shared(parts)
+        cold = policy.caches["c1"]
+        rpc = type("Rpc", (), {"key": 7})
+        cold.wishes = type("Wishes", (), {"add": lambda *_: None, "count": lambda *_: 0.0})()
+        policy.asked_for[0][7] = 10
+        sent[parts] = sum(policy._cold_room(desk.proxy.now(), rpc, cold) for _ in range(20_000))
+    assert sent[1] > 200 and 0.4 < sent[2] / sent[1] < 0.6
+
+
+class Door:
+    """A listener that holds two connections when it closes."""
+
+    def __init__(self, clients: Clients) -> None:
+        self.clients, self.steps, self.open = clients, [], True
+
+    def empty(self) -> None:
+        self.steps.append("empty")
+        self.clients.admit()
+        self.clients.admit()
+
+    def close(self) -> None:
+        self.steps.append("close")
+
+
+def test_sigterm_hands_over_to_a_process_that_serves(tmp_path: Path) -> None:
+    """Connections that the listener held were reset, and each resting one was closed while requests came."""
+    desk = Desk().spacious()
+    desk.proxy.upkeep()
+    desk.proxy.door = Door(desk.proxy.clients)
+    other = pair(tmp_path, desk)
+    resting, busy, probe = desk.client(), desk.client(), desk.client()
+    resting.feed(resp.command([b"PING"]))
+    busy.feed(ask())
+    desk.sigterm()
+    assert desk.proxy.door.steps == ["empty", "close"]  # in the same turn
+    probe.feed(resp.command([b"PING"]))
+    assert probe.sent == b"+PONG\r\n" and not probe.open  # this proxy goes on: its other process serves
+    desk.line().feed(reply(b"last"))
+    assert busy.sent == b"$4\r\nlast\r\n" and not busy.open
+    desk.loop.run(emptying.TAKEN - 0.1)
+    assert resting.open and not desk.proxy.ended.done()
+    desk.loop.run(0.5)
+    assert not resting.open and desk.proxy.ended.done()
+    other.release()
+
+
+def test_sigterm_goes_on_taking_connections_while_the_other_process_only_starts(tmp_path: Path) -> None:
+    desk = Desk()
+    desk.proxy.door = Door(desk.proxy.clients)
+    desk.proxy.lease = Lease("n0", str(tmp_path))
+    Lease("n0", str(tmp_path))
+    desk.sigterm()
+    assert not desk.proxy.door.steps and desk.proxy.clients.denying
+    desk.loop.run(1.0)
+    assert desk.proxy.door.steps == ["close"]
