--- a/calicofall/net/buffer.py
+++ b/calicofall/net/buffer.py
@@ -1,12 +1,14 @@
-"""A ring buffer: the bytes of one direction of one connection.
+"""The bytes of a connection: a ring buffer for what comes, pieces for what goes.
 
-Owns its memory, which doubles up to a bound and is given back once empty. Must never hand out a view that it
-later moves, or hold more than its bound.
+Owns the ring's memory, which doubles up to a bound and is given back once empty, and the pieces until they
+have gone. Must never hand out a view that it later moves, copy what is large, or hold more than its bound.
 """
 
+from collections import deque
+
 from calicofall.holds import holds
 
-LEAST, MOST = 4096, 1 << 21
+LEAST, MOST = 4096, 1 << 23
 
 
 class RingBuffer:
@@ -23,8 +25,8 @@
     def __len__(self) -> int:
         return self.length
 
-    def _grow(self, least: int) -> None:
-        size = len(self.memory)
+    def _grow(self, least: int, exactly: bool = False) -> None:
+        size = least if exactly else len(self.memory)
         while size < least:
             size *= 2
         if size > self.most:
@@ -48,7 +50,7 @@
     def reserve(self, count: int) -> None:
         """Room for a value of so many bytes, so that it is read in few pieces."""
         if count > len(self.memory):
-            self._grow(count)
+            self._grow(count, exactly=True)
 
     def filled(self, count: int) -> None:
         self.length += count
@@ -98,3 +100,36 @@
             if at >= 0:
                 return at + size - self.start
         return -1
+
+
+class Pieces:
+    """What has not left yet, as it was given."""
+
+    __slots__ = ("parts", "length", "most")
+
+    def __init__(self, most: int = MOST) -> None:
+        self.parts: deque[memoryview] = deque()
+        self.length, self.most = 0, most
+
+    def __len__(self) -> int:
+        return self.length
+
+    def write(self, data: bytes | memoryview) -> None:
+        if self.length + len(data) > self.most:
+            raise BufferError("pieces over their bound")
+        if len(data):
+            self.parts.append(memoryview(data))
+            self.length += len(data)
+
+    def take(self, count: int) -> memoryview | bytes:
+        """The next bytes, so many at most: a part of one piece, or small ones together."""
+        taken, room = [], count
+        while self.parts and room:
+            first = self.parts.popleft()
+            if len(first) > room:
+                self.parts.appendleft(first[room:])
+                first = first[:room]
+            taken.append(first)
+            room -= len(first)
+        self.length -= count - room
+        return taken[0] if len(taken) == 1 else b"".join(taken)
--- a/calicofall/net/caches.py
+++ b/calicofall/net/caches.py
@@ -11,7 +11,7 @@
 from collections.abc import Callable
 from math import inf
 from select import POLLIN, poll
-from typing import Any
+from typing import Any, Protocol
 
 from calicofall import words
 from calicofall.holds import holds
@@ -23,6 +23,7 @@
 READY = 2  # of these, kept at rest or coming up beside those in use
 SPARES = 6  # further ones beside those that wait for an answer past its time
 STALL = 0.06  # s in which the rest of an answer comes that has begun
+STILL = 2.5  # s in which more of a long one comes, while its client takes it
 SETTLE = 0.02  # s that a connection rests before it is used again first: some close behind an answer
 SELDOM = 10.0  # s between two lines about spoilt answers
 EARLIER = 0.9  # of the time after which a cache closes an idle connection, when ours is retired
@@ -32,15 +33,24 @@
 class Sending:
     """One transmission on its way."""
 
-    __slots__ = ("owner", "number", "data", "at", "last", "end", "line", "timer", "over")
+    __slots__ = ("owner", "number", "data", "at", "last", "end", "line", "timer", "over", "sink")
 
-    def __init__(self, owner: Any, number: int, data: bytes, at: float, last: float) -> None:
+    def __init__(self, owner: Any, number: int, data: list[bytes], at: float, last: float) -> None:
         self.owner, self.number, self.data, self.at = owner, number, data, at
         self.last = last  # the loop's time at which its RPC is over: till then it may be waited for
         self.end = 0  # where its last byte stands among all that its connection wrote
         self.line: Line | None = None
         self.timer: asyncio.TimerHandle | None = None
         self.over = False
+        self.sink: Sink | None = None  # who takes a long answer as it comes
+
+
+class Sink(Protocol):
+    """Where a long answer is passed on to."""
+
+    def room(self) -> bool: ...
+
+    def piece(self, data: bytes) -> None: ...
 
 
 class Line(Stream):
@@ -56,6 +66,7 @@
         self.eye: poll | None = None
         self.up = self.late = False  # late: an answer is overdue, and nothing has come since
         self.idle_since = 0.0
+        self.held = False  # reading is paused, for the client takes no more
         self.unsent: deque[int] = deque()  # where transmissions end that have not gone to the system whole
 
     def opened(self) -> None:
@@ -75,10 +86,11 @@
             self._put(sending)
 
     def _put(self, sending: Sending) -> None:
-        sending.end = self.written + len(sending.data)
+        sending.end = self.written + sum(map(len, sending.data))
         self.unsent.append(sending.end)
-        self.write(sending.data)
-        sending.data = b""
+        for piece in sending.data:
+            self.write(piece)
+        sending.data = []
 
     def flush(self) -> None:
         super().flush()
@@ -97,13 +109,42 @@
             except resp.Broken as reason:
                 self.spoil(str(reason))
                 return
+            if value is resp.BEGUN:
+                self.pool.caches.begin(self.queue[0], self.parser.long + resp.TAIL)
+                continue  # its turn may have come at once, and all that is here have been passed on
             if value is resp.COMING:
+                if self.parser.long and self.pass_on():
+                    continue
                 self.moved = self.pool.caches.loop.time()
-                if self.watcher is None and self.parser.midway():
+                if self.watcher is None and self.parser.midway() and not self.held:
                     self.watcher = self.pool.caches.loop.call_later(STALL, self.look)
                 return
             self.answered(value)
 
+    def pass_on(self) -> bool:
+        """What has come of a long value goes to its client; True once only the tail is missing."""
+        sink = self.queue[0].sink if not self.queue[0].over else None
+        self.hold(sink is not None and not sink.room())
+        if not self.held:
+            piece = self.parser.piece()
+            if piece and sink is not None:
+                sink.piece(piece)
+        return not self.parser.long
+
+    def hold(self, held: bool) -> None:
+        """Guards against values that pile up here for a client that does not take them."""
+        if held != self.held and not self.closed:
+            self.held = held
+            self.transport.pause_reading() if held else self.transport.resume_reading()
+            self.late = self.late or held  # nothing new is sent behind it meanwhile
+
+    def more(self) -> None:
+        """The client takes more."""
+        if self.held:
+            self.hold(False)
+            self.moved = self.pool.caches.loop.time()
+            self.came()
+
     def answered(self, value: resp.Value) -> None:
         sending = self.queue.popleft()
         holds(sending.line is self, "a reply belongs to its connection's first transmission")
@@ -118,7 +159,11 @@
         self.watcher = None
         if self.closed or not self.parser.midway():
             return
-        left = self.moved + STALL - self.pool.caches.loop.time()
+        if self.held:
+            return
+        # A long one has been begun to be passed on: it is waited for while there is any hope.
+        still = STILL if self.queue and self.queue[0].sink is not None else STALL
+        left = self.moved + still - self.pool.caches.loop.time()
         if left > 0.0:
             self.watcher = self.pool.caches.loop.call_later(left, self.look)
         else:
@@ -237,9 +282,9 @@
 
 class Caches:
     def __init__(self, loop: asyncio.AbstractEventLoop, caps: dict, most: int, ahead: bool,
-                 open: Callable, outcome: Callable, figures: Figures) -> None:
+                 open: Callable, begun: Callable, outcome: Callable, figures: Figures) -> None:
         self.loop, self.most, self.open, self.outcome = loop, max(1, most), open, outcome
-        self.figures = figures
+        self.begun, self.figures = begun, figures
         self.streams = max(1, int(caps.get("streams_per_conn") or 1))
         self.dial = (caps.get("dial_timeout") or 1000.0) / 1000.0
         self.keep = (caps.get("conn_idle") or 30_000.0) / 1000.0 * EARLIER
@@ -305,7 +350,7 @@
         for pool in self.pools.values():
             pool.warm()
 
-    def send(self, name: str, owner: Any, number: int, data: bytes, now: float, time_out: float,
+    def send(self, name: str, owner: Any, number: int, data: list[bytes], now: float, time_out: float,
              left: float) -> Sending:
         """Sends to a cache; the answer is waited for `time_out` ms, of the `left` ms that the RPC has."""
         sending = Sending(owner, number, data, now, self.loop.time() + left / 1000.0)
@@ -348,12 +393,20 @@
                 line.late = line.late or outcome == "timeout"
         self.done(sending, outcome)
 
+    def begin(self, sending: Sending, size: int) -> None:
+        """The head of a long answer is right: from here on only a peer that stands still ends it."""
+        if not sending.over:
+            sending.timer.cancel()
+            sending.sink = self.begun(sending, size, sending.line.more)
+
     def done(self, sending: Sending, outcome: str, answer: bytes = b"", note: str | None = None,
              load: dict | None = None) -> None:
         if sending.over:
             return
         sending.over = True
         sending.timer.cancel()
+        if sending.sink is not None and not sending.line.closed:
+            self.loop.call_soon(sending.line.more)  # nobody takes it now: what is left is read past
         self.outcome(sending, outcome, answer, note, load)
 
     def retire(self) -> None:
--- a/calicofall/net/clients.py
+++ b/calicofall/net/clients.py
@@ -16,8 +16,9 @@
 
 PIPELINED = 16  # commands read ahead of their answers
 FAULTS = 8  # wrong commands one after the other that a connection may send
-FIRST = 2.1  # s in which a connection's first byte comes
-WHOLE = 2.0  # s in which a command comes whole
+FIRST = 2.3  # s in which a connection's first byte comes
+WHOLE = 2.5  # s in which a command comes whole, or more of a long one comes
+LONGEST = 4  # times as long until a long one is whole
 REST = 0.1  # s that a connection between RPCs may rest where many do
 MANY = 8  # of the budget: more than this part of it resting is many
 HASTE = 0.1  # s for both where the proxy has to be empty
@@ -27,12 +28,14 @@
 class Turn:
     """An answer's place in its connection's order."""
 
-    __slots__ = ("client", "answer", "call", "weight")
+    __slots__ = ("client", "answer", "call", "weight", "size", "headed", "more")
 
     def __init__(self, client: "Client", weight: int) -> None:
         self.client, self.weight = client, weight
         self.answer: bytes | None = None
         self.call: Any = None  # what the proxy makes of it
+        self.size, self.headed = -1, False  # of a value that is passed on as it comes; its head is out
+        self.more: Callable[[], None] | None = None  # asks for more of it
 
     def give(self, answer: bytes) -> None:
         self.answer = answer
@@ -40,6 +43,22 @@
         self.client.clients.weight += len(answer)
         self.client.pass_on()
 
+    def begin(self, size: int, more: Callable[[], None]) -> None:
+        """A value of this size comes piece by piece; `more` is called when there is room for some."""
+        self.size, self.more = size, more
+        self.client.pass_on()
+
+    def room(self) -> bool:
+        """Whether the next piece may come: its turn has come, and the client takes it."""
+        return self.headed and not self.client.stuck
+
+    def piece(self, data: bytes) -> None:
+        self.client.write(data)
+
+    def spoil(self) -> None:
+        """The value will not come whole: the client can tell by the end of its connection."""
+        self.client.cut()
+
 
 class Client(Stream):
     def __init__(self, clients: "Clients") -> None:
@@ -50,6 +69,7 @@
         self.held = self.deaf = False  # reading is paused; framing is lost
         self.faults = 0  # wrong commands since the last right one
         self.halved = 0  # bytes of memory for a command that has begun and not ended
+        self.moved = 0.0  # when more of it came last
         self.patience: asyncio.TimerHandle | None = None
 
     def came(self) -> None:
@@ -82,7 +102,8 @@
 
     def _full(self) -> bool:
         """Whether nothing more is read from it now: guards against clients that send and do not read."""
-        return self.stuck or len(self.turns) >= (PIPELINED if self.clients.weight < self.clients.ahead else 1)
+        most = PIPELINED if self.clients.weight < self.clients.ahead else 1
+        return self.stuck or self in self.clients.crowded or len(self.turns) >= most
 
     def _turn(self, weight: int) -> Turn:
         turn = Turn(self, weight)
@@ -125,6 +146,12 @@
             turn = self.turns.popleft()
             self.clients.weight -= turn.weight
             self.write(turn.answer)
+        if self.turns and not self.stuck and (turn := self.turns[0]).more is not None:
+            if not turn.headed:
+                turn.headed = True
+                self.write(b"$%d\r\n" % turn.size)
+            turn.more()
+            return
         if not self.turns and not self.closed:
             if self.deaf:
                 self.bow(self.clients.loop)
@@ -169,6 +196,7 @@
         self.silent: OrderedDict[Client, float] = OrderedDict()  # since when, as in the two below
         self.resting: OrderedDict[Client, float] = OrderedDict()
         self.halves: OrderedDict[Client, float] = OrderedDict()
+        self.crowded: set[Client] = set()  # of the halves, who has to wait for memory
         self.leaving = False  # each connection closes behind its next answer
         self.denying = False  # PING says no
         self.first, self.whole = FIRST, WHOLE  # s for a first byte; for a command to come whole
@@ -204,16 +232,29 @@
 
     def half(self, client: Client, begun: bool) -> None:
         """Whether a command has begun and not ended."""
-        size = len(client.inward.memory) if begun else 0
+        size = len(client.inward.memory) + client.parser.got if begun else 0
         self.halved += size - client.halved
         client.halved = size
-        if not begun:
+        if begun:
+            client.moved = self.loop.time()
+            self.halves.setdefault(client, client.moved)
+        else:
             self.halves.pop(client, None)
-        elif client not in self.halves:
-            self.halves[client] = self.loop.time()
+            self.crowded.discard(client)
         # Guards against many halves of large commands, which would fill the memory there is.
         while self.halved > self.ahead and len(self.halves) > 1:
-            self.refuse(next(iter(self.halves)), "too much has come in halves")
+            if begun and client.parser.long:  # it waits while another long one goes on
+                if any(other.parser.long for other in self.halves.keys() - self.crowded - {client}):
+                    self.crowded.add(client)
+                return
+            oldest = next((other for other in self.halves if other not in self.crowded), None)
+            if oldest is None:
+                return
+            self.refuse(oldest, "too much has come in halves")
+        waiting, self.crowded = self.crowded, set()
+        for other in waiting:
+            self.halves[other] = other.moved = self.loop.time()
+            self.loop.call_soon(other.came)
 
     def refuse(self, client: Client, reason: str) -> None:
         self.half(client, False)
@@ -226,8 +267,11 @@
         for client in [client for client, since in self.silent.items() if since < now - self.first]:
             client.cut()
         self.thin()
-        for client in [client for client, since in self.halves.items() if since < now - self.whole]:
-            self.refuse(client, "a command that does not end")
+        late = now - self.whole
+        for client in [client for client, since in self.halves.items() if since < late]:
+            going_on = client in self.crowded or (client.parser.long and client.moved >= late)
+            if not going_on or self.halves.get(client, now) < now - LONGEST * self.whole:
+                self.refuse(client, "a command that does not end")
 
     def thin(self) -> None:
         """Guards against clients that ask once and stay: what they keep is missing to ask with."""
--- a/calicofall/net/proxy.py
+++ b/calicofall/net/proxy.py
@@ -47,11 +47,12 @@
 class Call:
     """An RPC and the turn in which its answer is owed."""
 
-    __slots__ = ("rpc", "turn", "parts", "sending")
+    __slots__ = ("rpc", "turn", "parts", "sending", "began")
 
     def __init__(self, rpc: Rpc, turn: Turn | None, parts: list[bytes]) -> None:
         self.rpc, self.turn, self.parts = rpc, turn, parts
         self.sending: Sending | None = None
+        self.began: float | None = None  # when its answer began to be passed on
 
 
 class Proxy:
@@ -76,7 +77,8 @@
             "current": lambda: len(self.calls), "cluster_size": lambda: len(self.caches.named),
             "cluster_unhealthy": lambda: self.router.avoided(self.now())})
         sockets, of_caches, room = self.budget(1)
-        self.caches = Caches(loop, deployment["caps"], of_caches, ahead, open, self.outcome, self.figures)
+        self.caches = Caches(loop, deployment["caps"], of_caches, ahead, open, self.begun, self.outcome,
+                             self.figures)
         self.clients = Clients(loop, sockets, room, self.patience, self.ask, self.left)
         self.clients.others = self.caches.count
         self.emptying = Emptying(loop, self.clients)
@@ -166,7 +168,7 @@
         rpc = call.rpc
         if cache is not None:
             holds(not rpc.over and now < rpc.until, "nothing is sent for an RPC that is over")
-            data = resp.command(words.passed_on(call.parts, rpc.time_out))
+            data = resp.pieces(words.passed_on(call.parts, rpc.time_out))
             call.sending = self.caches.send(cache, call, len(rpc.sent) - 1, data, now, rpc.time_out,
                                             rpc.until - now)
         elif rpc.answer == "exhausted":
@@ -181,17 +183,33 @@
         self.over(call)
         if turn is not None:
             self.figures.answered(rpc.answer, rpc.method)
-            self.times[rpc.method].record_value(max(1, round(now - rpc.arrived)))
+            self.times[rpc.method].record_value(max(1, round((call.began or now) - rpc.arrived)))
             turn.give(data)
 
+    def begun(self, sending: Sending, size: int, more: Callable[[], None]) -> Turn | None:
+        """A long answer is passed on as it comes: the RPC is bound to it from here on."""
+        call = sending.owner
+        call.rpc.bound, call.began = True, self.now()
+        turn = call.turn
+        if turn is not None:
+            turn.begin(size, more)
+        return turn
+
     def outcome(self, sending: Sending, outcome: str, answer: bytes, note: str | None, load: Any) -> None:
         now, call = self.now(), sending.owner
-        rpc, call.sending = call.rpc, None
-        over = rpc.over  # its client has left: nobody is answered
-        cache = self.decide(call, self.router.report, now, rpc, sending.number, outcome, now - sending.at,
-                            note, load)
+        rpc, turn, call.sending = call.rpc, call.turn, None
+        if rpc.bound and turn is not None and not turn.headed:  # nothing of the value has been passed on
+            rpc.bound, call.began, turn.more = False, None, None
+        over, bound = rpc.over, rpc.bound  # over: its client has left, and nobody is answered
+        cache = self.decide(call, self.router.report, now, rpc, sending.number, outcome,
+                            (call.began or now) - sending.at, note, load, bound)
         if not over and outcome == "completed":
-            self.answer(now, call, resp.bulk(answer))
+            self.answer(now, call, answer + b"\r\n" if bound else resp.bulk(answer))
+        elif not over and bound:  # guards against a value cut short that could pass for a whole one
+            rpc.answer, call.turn = "errored", None
+            self.figures.answered(rpc.answer, rpc.method)
+            self.over(call)
+            turn.spoil()
         elif not over:
             self.carry(now, call, cache)
         self.soon()
@@ -373,7 +391,7 @@
         """Guards against being killed with RPCs in hand: their time ends, the module answers."""
         for call in list(self.calls.values()):
             call.rpc.until = min(call.rpc.until, self.now())
-            if call.sending is not None:
+            if call.sending is not None and not call.rpc.bound:
                 self.caches.give_up(call.sending, "timeout")
         self.loop.call_later(0.15, self.end)
 
--- a/calicofall/net/resp.py
+++ b/calicofall/net/resp.py
@@ -9,7 +9,9 @@
 
 from calicofall.net.buffer import RingBuffer
 
-LARGEST = 1 << 20  # bytes of a value: sixteen times what the protocol's page says, since some days bring more
+LARGEST = 4 << 20  # bytes of a value
+LONG = 1 << 16  # bytes of a value over which a reply is passed on as it comes
+TAIL = 1 << 10  # of these, what is held back until the rest of the reply has proved right
 LINE = 1024  # bytes of a line without a value
 WIDEST, DEEPEST = 32, 4  # members of an array, arrays in arrays
 HEAVIEST = LARGEST + (1 << 16)  # bytes of a whole message
@@ -36,6 +38,7 @@
 
 
 COMING = Coming()
+BEGUN = Coming()  # the head of a long reply is right: its value is to be taken as it comes
 Value = bytes | int | list | None
 
 
@@ -44,6 +47,8 @@
         self.ring = ring
         self.stack: list[tuple[list, int]] = []
         self.bulk = -1  # bytes of the bulk string that is coming
+        self.body: list[bytes] = []  # what has come of a long one
+        self.got = 0  # bytes of it
         self.scanned = self.weight = 0
 
     def next(self) -> Value | Coming:
@@ -51,10 +56,12 @@
             return command
         while True:
             if self.bulk >= 0:
-                if len(self.ring) < self.bulk + 2:
+                if self.long and self.got < self.bulk and not self._more():
                     return COMING
-                value: Value = self.ring.take(self.bulk)
-                self.bulk = -1
+                if len(self.ring) < self.bulk - self.got + 2:
+                    return COMING
+                value: Value = b"".join(self.body) if self.got else self.ring.take(self.bulk)
+                self.bulk, self.got, self.body = -1, 0, []
                 if self.ring.take(2) != b"\r\n":
                     raise Broken("a bulk string of another length than announced")
             else:
@@ -95,6 +102,20 @@
                 self.weight = 0
                 return value
 
+    @property
+    def long(self) -> bool:
+        """Whether a long value is coming: memory is taken for what has come of it, not for what is said."""
+        return self.bulk > LONG
+
+    def _more(self) -> bool:
+        """Takes what has come of a long value; whether that is all of it."""
+        piece = self.ring.take(min(len(self.ring), self.bulk - self.got))
+        if piece:
+            self.body.append(piece)
+            self.got += len(piece)
+        self.ring.reserve(min(LONG, self.bulk - self.got + 2))
+        return self.got == self.bulk
+
     def _short(self) -> list[bytes] | None:
         """A short command that has come whole, in one look: most are, and each costs a part of a core."""
         first, *pieces = self.ring.peek(SHORT).split(b"\r\n", 2 * 5 + 1)
@@ -153,9 +174,12 @@
         self.ring = ring
         self.parts: list[bytes | None] | None = None  # of an array that is coming
         self.size = -1  # of a bulk string that is coming
+        self.long = 0  # bytes of a long value that are to be taken as they come
 
     def next(self) -> Value | Coming:
-        """The next reply, whole."""
+        """The next reply, whole; of one that has begun, the value's tail stands for the value."""
+        if self.long:
+            return COMING
         if self.size < 0 and self.parts is None and len(self.ring) <= self.QUICK:
             data = self.ring.peek(self.QUICK)  # most come whole: one look
             head = self.START.match(data)
@@ -166,6 +190,11 @@
                     self.ring.drop(len(data))
                     return [data[head.end():end], note or None, None]
         while True:
+            if self.size > LONG and not self.parts:
+                if not len(self.ring):
+                    return COMING  # guards against a head alone, after which another cache can still help
+                self.long, self.size = self.size - TAIL, TAIL
+                return BEGUN
             if self.size >= 0:
                 end = self.ring.peek(2, self.size) if len(self.ring) > self.size else b""
                 if not b"\r\n".startswith(end):
@@ -192,13 +221,20 @@
                 if self.size > LARGEST or (self.size < 0 and not self.parts):
                     raise Broken("too large" if self.size > 0 else "no value")
                 if self.size >= 0:
-                    self.ring.reserve(self.size + 2)
+                    self.ring.reserve(min(LONG, self.size) + 2)
                     continue
             self.parts.append(part)
             if len(self.parts) == 3:
                 value, self.parts = self.parts, None
                 return value
 
+    def piece(self) -> bytes:
+        """What has come of a long value, its tail aside."""
+        data = self.ring.take(min(self.long, len(self.ring)))
+        self.long -= len(data)
+        self.ring.reserve(min(LONG, self.long + TAIL))
+        return data
+
     def midway(self) -> bool:
         return self.parts is not None or len(self.ring) > 0
 
@@ -215,6 +251,14 @@
     return b"*%d\r\n%b" % (len(parts), b"".join(map(bulk, parts)))
 
 
+def pieces(parts: list[bytes]) -> list[bytes]:
+    """A command to be written one after the other, so that a long value at its end is not copied."""
+    if len(parts[-1]) <= LONG:
+        return [command(parts)]
+    head = b"*%d\r\n%b$%d\r\n" % (len(parts), b"".join(map(bulk, parts[:-1])), len(parts[-1]))
+    return [head, parts[-1], b"\r\n"]
+
+
 def word(text: str) -> bytes:
     return b"+%b\r\n" % text.encode()
 
--- a/calicofall/net/stream.py
+++ b/calicofall/net/stream.py
@@ -1,4 +1,4 @@
-"""What every connection has in common: a ring buffer a direction, the bytes that have left; and the door.
+"""What every connection has in common: a buffer a direction, the bytes that have left; and the door.
 
 Owns both buffers and the transport, and the socket that listens. Must never hand the transport more while it
 holds some, so that what is still in the buffer is known not to have left, take more connections than there
@@ -12,7 +12,7 @@
 from collections.abc import Callable, Coroutine
 from contextlib import suppress
 
-from calicofall.net.buffer import RingBuffer
+from calicofall.net.buffer import Pieces, RingBuffer
 
 CHUNK = 1 << 16
 LINGER = 0.25  # s in which a peer may read why its connection ends
@@ -25,7 +25,7 @@
 
 class Stream(asyncio.BufferedProtocol):
     def __init__(self) -> None:
-        self.inward, self.outward = RingBuffer(), RingBuffer()
+        self.inward, self.outward = RingBuffer(), Pieces()
         self.transport: asyncio.Transport | None = None
         self.stuck = self.closed = self.closing = False
         self.why = "closed"  # what ended it
@@ -57,13 +57,8 @@
         if self.closed or self.closing:
             return
         self.written += len(data)
-        rest = memoryview(data)
-        while len(rest) and not (len(self.outward) or self.stuck or self.transport is None):
-            chunk, rest = rest[:CHUNK], rest[CHUNK:]  # past the buffer: large values are copied often enough
-            self.handed += len(chunk)
-            self.transport.write(chunk)
         try:
-            self.outward.write(rest)
+            self.outward.write(data)
         except BufferError:  # the peer does not read
             self.cut()
             return
