A client that reads slowly is not cut, and what is passed on to it is no load

Now what the system still holds for it (TIOCOUTQ) has to shrink within 2.5 s or that deadline. Refused: limits were full of answers that slow clients read, and their caches set aside as silent. The module is told when an answer has begun to be passed on, and holds it for load no more. Ruled out: spoilt answers (none logged), processor time (0.39 of 0.85 of a core), memory 19 of 80 MB, descriptors 241 of 1024.

--- a/calicofall/facade.py
+++ b/calicofall/facade.py
@@ -40,6 +40,12 @@
         self._drop(rpc)
         return cache
 
+    def begun(self, now: float, rpc: Rpc, number: int) -> None:
+        """The answer of a transmission has begun to be passed on: the RPC is bound to it."""
+        rpc.bound, rpc.sent[number].outcome = True, "begun"
+        self.policy.after(now, rpc, number, 0.0, None, None)
+        rpc.sent[number].outcome = None  # still to come
+
     def left(self, now: float, rpc: Rpc) -> list[int]:
         """The client has left: the numbers of the transmissions to call off."""
         if rpc.over:
--- a/calicofall/net/caches.py
+++ b/calicofall/net/caches.py
@@ -33,7 +33,7 @@
 class Sending:
     """One transmission on its way."""
 
-    __slots__ = ("owner", "number", "data", "at", "last", "end", "line", "timer", "over", "sink")
+    __slots__ = ("owner", "number", "data", "at", "last", "end", "line", "timer", "over", "sink", "bound")
 
     def __init__(self, owner: Any, number: int, data: list[bytes], at: float, last: float) -> None:
         self.owner, self.number, self.data, self.at = owner, number, data, at
@@ -43,6 +43,7 @@
         self.timer: asyncio.TimerHandle | None = None
         self.over = False
         self.sink: Sink | None = None  # who takes a long answer as it comes
+        self.bound = False  # some of it has been passed on
 
 
 class Sink(Protocol):
@@ -128,6 +129,9 @@
         if not self.held:
             piece = self.parser.piece()
             if piece and sink is not None:
+                if not self.queue[0].bound:
+                    self.queue[0].bound = True
+                    self.pool.caches.bound(self.queue[0])
                 sink.piece(piece)
         return not self.parser.long
 
@@ -282,9 +286,10 @@
 
 class Caches:
     def __init__(self, loop: asyncio.AbstractEventLoop, caps: dict, most: int, ahead: bool,
-                 open: Callable, begun: Callable, outcome: Callable, figures: Figures) -> None:
+                 open: Callable, taker: Callable, bound: Callable, outcome: Callable,
+                 figures: Figures) -> None:
         self.loop, self.most, self.open, self.outcome = loop, max(1, most), open, outcome
-        self.begun, self.figures = begun, figures
+        self.taker, self.bound, self.figures = taker, bound, figures
         self.streams = max(1, int(caps.get("streams_per_conn") or 1))
         self.dial = (caps.get("dial_timeout") or 1000.0) / 1000.0
         self.keep = (caps.get("conn_idle") or 30_000.0) / 1000.0 * EARLIER
@@ -397,7 +402,7 @@
         """The head of a long answer is right: from here on only a peer that stands still ends it."""
         if not sending.over:
             sending.timer.cancel()
-            sending.sink = self.begun(sending, size, sending.line.more)
+            sending.sink = self.taker(sending, size, sending.line.more)
 
     def done(self, sending: Sending, outcome: str, answer: bytes = b"", note: str | None = None,
              load: dict | None = None) -> None:
--- a/calicofall/net/clients.py
+++ b/calicofall/net/clients.py
@@ -6,8 +6,11 @@
 """
 
 import asyncio
+import sys
 from collections import OrderedDict, deque
 from collections.abc import Callable
+from fcntl import ioctl
+from termios import TIOCOUTQ
 from typing import Any
 
 from calicofall.net import resp
@@ -19,6 +22,7 @@
 FIRST = 2.3  # s in which a connection's first byte comes
 WHOLE = 2.5  # s in which a command comes whole, or more of a long one comes
 LONGEST = 4  # times as long until a long one is whole
+STANDS = 2.5  # s in which a client takes some of what is written to it, at the least
 REST = 0.1  # s that a connection between RPCs may rest where many do
 MANY = 8  # of the budget: more than this part of it resting is many
 HASTE = 0.1  # s for both where the proxy has to be empty
@@ -164,8 +168,23 @@
 
     def pause_writing(self) -> None:
         super().pause_writing()
-        # Guards against clients that do not read: the answer has failed, and the cut tells so.
-        self.patience = self.clients.loop.call_later(self.clients.stall, self.cut)
+        self.stand()
+
+    def stand(self, before: int = -1) -> None:
+        """Guards against clients that do not read: cut, unless something was taken since the last look."""
+        unread = self.unread()
+        if before >= 0 and unread >= before:
+            self.cut()
+        else:
+            self.patience = self.clients.loop.call_later(self.clients.stall, self.stand, unread)
+
+    def unread(self) -> int:
+        """Bytes that the system holds for it, whose room it tells of in large steps only."""
+        plug = self.transport.get_extra_info("socket")
+        try:
+            return int.from_bytes(ioctl(plug.fileno(), TIOCOUTQ, bytes(4)), sys.byteorder) if plug else 0
+        except OSError:
+            return 0
 
     def resume_writing(self) -> None:
         if self.patience is not None:
@@ -190,7 +209,8 @@
 
     def __init__(self, loop: asyncio.AbstractEventLoop, most: int, ahead: int, stall: float, ask: Callable,
                  leave: Callable) -> None:
-        self.loop, self.most, self.stall, self.ask, self.leave = loop, max(1, most), stall, ask, leave
+        self.loop, self.most, self.ask, self.leave = loop, max(1, most), ask, leave
+        self.stall = max(stall, STANDS)  # s in which a client takes something of what is written to it
         self.ahead = ahead  # bytes of commands in hand from which none is read ahead
         self.open: set[Client] = set()
         self.silent: OrderedDict[Client, float] = OrderedDict()  # since when, as in the two below
--- a/calicofall/net/proxy.py
+++ b/calicofall/net/proxy.py
@@ -77,8 +77,8 @@
             "current": lambda: len(self.calls), "cluster_size": lambda: len(self.caches.named),
             "cluster_unhealthy": lambda: self.router.avoided(self.now())})
         sockets, of_caches, room = self.budget(1)
-        self.caches = Caches(loop, deployment["caps"], of_caches, ahead, open, self.begun, self.outcome,
-                             self.figures)
+        self.caches = Caches(loop, deployment["caps"], of_caches, ahead, open, self.taker, self.bound,
+                             self.outcome, self.figures)
         self.clients = Clients(loop, sockets, room, self.patience, self.ask, self.left)
         self.clients.others = self.caches.count
         self.emptying = Emptying(loop, self.clients)
@@ -186,21 +186,26 @@
             self.times[rpc.method].record_value(max(1, round((call.began or now) - rpc.arrived)))
             turn.give(data)
 
-    def begun(self, sending: Sending, size: int, more: Callable[[], None]) -> Turn | None:
-        """A long answer is passed on as it comes: the RPC is bound to it from here on."""
-        call = sending.owner
-        call.rpc.bound, call.began = True, self.now()
-        turn = call.turn
+    def taker(self, sending: Sending, size: int, more: Callable[[], None]) -> Turn | None:
+        """Who takes a long answer as it comes, once its turn has come."""
+        turn = sending.owner.turn
         if turn is not None:
             turn.begin(size, more)
         return turn
 
+    def bound(self, sending: Sending) -> None:
+        """Some of it is passed on: it is the RPC's answer, whatever comes of it."""
+        call = sending.owner
+        call.began = self.now()
+        self.decide(call, self.router.begun, call.began, call.rpc, sending.number)
+
     def outcome(self, sending: Sending, outcome: str, answer: bytes, note: str | None, load: Any) -> None:
         now, call = self.now(), sending.owner
         rpc, turn, call.sending = call.rpc, call.turn, None
-        if rpc.bound and turn is not None and not turn.headed:  # nothing of the value has been passed on
-            rpc.bound, call.began, turn.more = False, None, None
-        over, bound = rpc.over, rpc.bound  # over: its client has left, and nobody is answered
+        over = rpc.over  # its client has left: nobody is answered
+        bound = sending.bound or (turn is not None and turn.headed)
+        if turn is not None and not bound:
+            turn.more = None
         cache = self.decide(call, self.router.report, now, rpc, sending.number, outcome,
                             (call.began or now) - sending.at, note, load, bound)
         if not over and outcome == "completed":
--- a/calicofall/policy.py
+++ b/calicofall/policy.py
@@ -497,16 +497,18 @@
         tx = rpc.sent[number]
         outcome, method = tx.outcome, self.methods[rpc.method]
         cache = self.caches.get(tx.cache)
-        self.origin.take(now, -tx.fetch)
-        if cache is None:
-            self._from_origin(now, rpc, outcome, took)
-        else:
-            cache.held, cache.heard = cache.held - 1, cache.heard if outcome == "timeout" else now
+        load, tx.begun = not tx.begun, rpc.bound  # guards against slow clients: what is passed on is no load
+        self.origin.take(now, -tx.fetch * load)
+        if cache is not None:
+            self.fleet.take(now, -load)
+            cache.held, cache.heard = cache.held - load, cache.heard if outcome == "timeout" else now
             self._learn(now, rpc, cache, outcome, took, note, tx.fetch, report)
             # Guards against hundreds of proxies each keeping a connection until it goes idle, used once.
             cost = self.sent.count(now) * self.proxies * self.dear
             if not cache.held and cost > 100.0 * len(self.usable) * cache.sent.count(now):
                 self.errands.append(("close", cache.name))
+        elif outcome != "begun":
+            self._from_origin(now, rpc, outcome, took)
         if rpc.over or rpc.bound:
             return None
         rpc.missed = rpc.missed or outcome == "missed"
@@ -524,7 +526,6 @@
 
     def _learn(self, now: float, rpc: Rpc, cache: Cache, outcome: str, took: float, note: str | None,
                fetch: float, report: object = None) -> None:
-        self.fleet.take(now, -1.0)
         usual, cold = self.typical[rpc.method], self._cold(now, cache)
         pace = min(took / usual, 10.0) if usual else cache.pace  # answer time over the method's usual
         self._zone(now, cache, outcome, now - took)
@@ -563,7 +564,7 @@
             elif fetch and self.seldom:
                 self._of_origin(now, cache, 6.0, fetch)
             if outcome == "timeout" and (self.seldom or not fetch or cache.part < 0.5):
-                self._paced(now, cache, pace, now - took, True)
+                self._paced(now, cache, pace, now - took, self.seldom)
         elif outcome in LOST:
             self._set_aside(now, cache, LOST[outcome][self.seldom], outcome)
 
@@ -594,7 +595,6 @@
         # Guards against single answers: a healthy cache has a slow one now and then, a sick one a fast one.
         cache.pace += (pace - cache.pace) * (1.0 if self.seldom else 0.15 if part >= 1.0 else 0.3)
         # Guards against clients less patient than a slow cache is told by: no time-out was ever long enough.
-        lost = lost and self.seldom
         most = SICK[False] if lost else SICK[self.seldom] * self.middle
         if cache.pace > most and sent >= cache.part_at:  # one queue speaks once
             # Guards against load that goes in circles: where a third is slow it is nobody's fault.
