--- a/calicofall/__main__.py
+++ b/calicofall/__main__.py
@@ -88,7 +88,7 @@
     try:
         asyncio.run(run())
     except OSError as reason:
-        raise click.ClickException(f"{node['listen']}: {reason}") from None
+        raise click.ClickException(str(reason)) from None
 
 
 @main.command()
--- a/calicofall/net/proxy.py
+++ b/calicofall/net/proxy.py
@@ -293,6 +293,13 @@
         if self.node.get("mgmt"):
             self.management.open(words.place(self.node["mgmt"]))
         self.lease = Lease(self.node["name"], tempfile.gettempdir())
+        try:
+            await self.run()
+        finally:
+            self.lease.release()
+            self.management.close()
+
+    async def run(self) -> None:
         self.discovery.start()
         self.upkeep()
         self.soon()
@@ -311,8 +318,6 @@
         log.info("serving", extra={"proxy": self.node["name"], "listen": self.node["listen"],
                                    "caches": len(self.caches.pools)})
         await self.ended
-        self.lease.release()
-        self.management.close()
         self.caches.close()
         self.discovery.stop()
         for name, times in self.times.items():
--- a/calicofall/net/stream.py
+++ b/calicofall/net/stream.py
@@ -8,6 +8,7 @@
 import asyncio
 import errno
 import logging
+import os
 import socket
 from collections.abc import Callable, Coroutine
 from contextlib import suppress
@@ -154,7 +155,10 @@
                  make: Callable[[], Stream], shared: bool = False) -> None:
         self.loop, self.room, self.make = loop, room, make
         # Shared: another process of this proxy may listen there, too, while one replaces the other.
-        self.plug = socket.create_server(place, backlog=WAITING, reuse_port=shared)
+        try:
+            self.plug = socket.create_server(place, backlog=WAITING, reuse_port=shared)
+        except OSError as reason:
+            raise OSError(f"{place[0]}:{place[1]}: {os.strerror(reason.errno or 0)}") from None
         self.plug.setblocking(False)
         self.resume()
 
--- a/tests/test_operation.py
+++ b/tests/test_operation.py
@@ -1,10 +1,16 @@
 """Where operators call, the figures, emptying: on fake transports and time."""
 
+import json
+import os
+import socket
+import subprocess
+import sys
 from collections import Counter
+from pathlib import Path
 from random import Random
 
 import pytest
-from helpers import Desk, Wire, ask, endpoint, reply
+from helpers import SETTINGS, Desk, Wire, ask, endpoint, reply
 
 from calicofall.net import emptying, resp
 from calicofall.net.management import CALLERS, LONGEST, PATIENCE
@@ -254,3 +260,21 @@
     assert resting.open
     desk.loop.run(0.2)
     assert not resting.open
+
+
+def test_an_address_taken_by_somebody_else_is_one_line(tmp_path: Path) -> None:
+    """Both addresses; nothing is left behind, and the line names the one that is taken."""
+    with socket.create_server(("127.0.0.1", 0)) as taken, socket.create_server(("127.0.0.1", 0)) as free:
+        addresses = [f"127.0.0.1:{plug.getsockname()[1]}" for plug in (taken, free)]
+        free.close()
+        for listen, mgmt in (addresses, reversed(addresses)):
+            path = tmp_path / "node.json"
+            path.write_text(json.dumps({"name": "n0", "listen": listen, "discovery": "127.0.0.1:9",
+                                        "seed": "1f", "settings": SETTINGS}))
+            told = {name: value for name, value in os.environ.items() if not name.startswith("PROXY_")}
+            told |= {"PROXY_CONFIG": str(path), "PROXY_MGMT": mgmt, "TMPDIR": str(tmp_path)}
+            ended = subprocess.run([sys.executable, "-m", "calicofall", "serve", "--log-level", "ERROR"],
+                                   env=told, capture_output=True, text=True, timeout=30)
+            assert ended.returncode == 1
+            assert ended.stderr == f"Error: {addresses[0]}: Address already in use\n"
+            assert [file.name for file in tmp_path.iterdir()] == ["node.json"]
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -749,6 +749,8 @@
     ({"seed": "xyz"}, "invalid"), ({"settings": {"methods": [{"name": "read"}]}}, "repeats is missing"),
     ({"known": {"endpoints": 5}}, "no list"), ({"limits": {"sockets": 5}}, "sockets is under 64"),
     ({"limits": {"memory_mb": 8}}, "memory_mb is under 32"),
+    ({"mgmt": "nowhere"}, "no address"), ({"mgmt": 9901}, "mgmt is 9901: an address would be right"),
+    ({"mgmt": "127.0.0.1:1"}, "the same as listen: another port would be right"),
     (None, "PROXY_CONFIG is missing")])
 def test_a_wrong_configuration_is_one_line(tmp_path: Path, change: dict | None, said: str) -> None:
     node = {"name": "n0", "listen": "127.0.0.1:1", "discovery": "127.0.0.1:2", "seed": "1f",
