--- a/calicofall/net/caches.py
+++ b/calicofall/net/caches.py
@@ -93,8 +93,7 @@
             self.write(piece)
         sending.data = []
 
-    def flush(self) -> None:
-        super().flush()
+    def departed(self) -> None:
         while self.unsent and self.unsent[0] <= self.handed and not self.stuck:
             self.unsent.popleft()
             self.pool.caches.figures.sends += 1
--- a/calicofall/net/lease.py
+++ b/calicofall/net/lease.py
@@ -19,14 +19,14 @@
 
 class Lease:
     def __init__(self, name: str, folder: str) -> None:
-        self.folder, self.prefix = folder, f"calicofall-{quote(name, safe='')}-"
+        self.folder = f"{folder}/calicofall-{quote(name, safe='')}"  # holds this proxy's leases alone
         self.path: str | None = None
         self.file = -1
         self.others = self.serving = 0  # further processes that live; of these, how many serve
         self.silent = False  # trouble has been told
         try:
-            for _ in range(TRIES):
-                if self._take():
+            for tries in range(TRIES):
+                if self._take(last=tries == TRIES - 1):
                     return
             raise OSError("taken away")
         except OSError as reason:
@@ -37,8 +37,15 @@
             self.silent = True
             log.warning("no lease", extra={"folder": self.folder, "reason": reason.strerror or str(reason)})
 
-    def _take(self) -> bool:
-        self.file, self.path = mkstemp(prefix=self.prefix, dir=self.folder)
+    def _take(self, last: bool) -> bool:
+        try:
+            with suppress(FileExistsError):
+                os.mkdir(self.folder, 0o700)
+            self.file, self.path = mkstemp(dir=self.folder)
+        except FileNotFoundError:
+            if last:
+                raise
+            return False  # another process has just left, and the folder with it
         try:
             fcntl.flock(self.file, fcntl.LOCK_EX | fcntl.LOCK_NB)
             self._say(STARTS)
@@ -68,8 +75,7 @@
         self.others = self.serving = 0
         try:
             for name in os.listdir(self.folder):
-                path = f"{self.folder}/{name}"
-                if name.startswith(self.prefix) and path != self.path:
+                if (path := f"{self.folder}/{name}") != self.path:
                     self._count(path)
         except OSError as reason:
             self._trouble(reason)
@@ -93,5 +99,6 @@
         if self.file >= 0:
             with suppress(OSError):
                 os.unlink(self.path)
+                os.rmdir(self.folder)  # unless another process is there
             os.close(self.file)
         self.file, self.path = -1, None
--- a/calicofall/net/management.py
+++ b/calicofall/net/management.py
@@ -18,7 +18,7 @@
     def __init__(self, management: "Management") -> None:
         super().__init__()
         self.management, self.answered = management, False
-        self.timer = management.loop.call_later(PATIENCE, self.answer, "-ERR no call came")
+        self.timer = management.loop.call_later(PATIENCE, self.late)
 
     def came(self) -> None:
         if not self.answered:
@@ -42,6 +42,12 @@
             self.write(text.encode() + b"\n")
             self.bow(self.management.loop)
 
+    def late(self) -> None:
+        if self.answered:  # it does not read its answer
+            self.cut()
+        else:
+            self.answer("-ERR no call came")
+
     def lost(self) -> None:
         self.timer.cancel()
         self.management.callers.pop(self, None)
--- a/calicofall/net/stream.py
+++ b/calicofall/net/stream.py
@@ -58,6 +58,11 @@
         if self.closed or self.closing:
             return
         self.written += len(data)
+        if len(data) <= CHUNK and not (self.stuck or self.transport is None or len(self.outward)):
+            self.handed += len(data)  # most go out at once
+            self.transport.write(data)
+            self.departed()
+            return
         try:
             self.outward.write(data)
         except BufferError:  # the peer does not read
@@ -72,6 +77,7 @@
             chunk = self.outward.take(CHUNK)
             self.handed += len(chunk)
             self.transport.write(chunk)
+        self.departed()
         if self.closing and not len(self.outward):
             self.transport.close()
 
@@ -127,6 +133,9 @@
     def came(self) -> None:
         """Bytes have come."""
 
+    def departed(self) -> None:
+        """Bytes have been handed over."""
+
     def lost(self) -> None:
         """The connection is over; called once."""
 
--- a/calicofall/policy.py
+++ b/calicofall/policy.py
@@ -302,8 +302,8 @@
             cache.clear()
         return part >= 1.0 or self.chance.random() < part
 
-    def avoided(self, now: float) -> int:  # how many ready caches get a quarter of what they own at most
-        return sum(cache.trickle(now) <= 0.25 for *_, cache in self.usable)
+    def avoided(self, now: float) -> int:  # how many ready caches get an eighth of what they own at most
+        return sum(cache.trickle(now) <= 0.125 for *_, cache in self.usable)
 
     def _refresh(self, now: float) -> None:
         self.weights = {c.name: self._weight(now, c) for c in self.caches.values() if c.ready}
