--- a/calicofall/policy.py
+++ b/calicofall/policy.py
@@ -35,7 +35,7 @@
 COLD_PART = 0.6, 1.0  # of what the rule lets a cold cache be sent: often met, seldom met
 LATE = 3.0  # usual times after which a read may be called off and sent elsewhere, where caches are seldom met
 BEYOND, HEAVY = 0.5, 0.8  # of the origin's limit, for reads no cache takes; of the soft deadline, by hints
-SLOW = 0.12  # of the soonest deadline: waits over which a cache passes on what it owns
+SLOW, BRIEF = 0.12, 1 / 12  # of the soonest deadline: waits over which a key passes on; what is never slow
 WAIT = "served_ps", "pending"  # fields of a report that tell how long an RPC waits
 TELL, PEERS = 200.0, 3  # ms between two messages at the least, to how many peers
 LATELY, PRIOR = 1500.0, 2.0  # ms in which the news of a cache fades; answers that its usual pace stands for
@@ -170,7 +170,7 @@
         self.scale, self.middle, self.slowest = 1.0, 1.0, inf  # slowest: the longest usual time of a method
         top = max((method.get("gain") or 1.0 for method in self.methods.values()), default=1.0)
         self.rank = {name: (method.get("gain") or 1.0) / top for name, method in self.methods.items()}
-        self.review_at, self.measure_at, self.fade_at, self.overloaded = now, now, inf, False
+        self.awake, self.review_at, self.measure_at, self.fade_at, self.overloaded = now, now, now, inf, False
 
     def listed(self, now: float, kind: str, version: int | None, entries: list[tuple]) -> None:
         if kind == "failed":
@@ -272,7 +272,7 @@
         for name, ring in self.usual.items():
             self.typical[name] = ring.shortest(now, 2 * LEAST, self.typical[name])
         self.fetch_usual = self.fetches.shortest(now, 2 * LEAST, self.fetch_usual)
-        self.slowest = max(1.0, *(t or 0.0 for t in self.typical.values()))
+        self.slowest = max([1.0, *(max(t, BRIEF * self.soonest) for t in self.typical.values() if t)])
         self.fleet.slack = max(1.6, self.soonest / 4.0 / self.slowest)
         # Guards against a limit, and asked directly a usual time, found in a jam: a fetch has to leave time.
         least, part = (0.2, 0.5) if self.aside else (1.6 if self.seldom else 1.2, 0.8)
@@ -294,7 +294,7 @@
     def _fit(self, now: float, cache: Cache) -> bool:
         """Whether a cache is sent what it owns: by chance, where something speaks against it."""
         # Guards against caches that keep what they get and say nothing, long before time-outs tell.
-        silent, waiting = now - cache.heard, cache.held  # one slow answer is no silence
+        silent, waiting = now - max(cache.heard, self.awake), cache.held  # one slow answer is no silence
         if waiting and silent > max(self.soonest, (3.0 + 5.0 / waiting) * self.fetch_usual):
             self._set_aside(now, cache, 1 / 16, f"silent for {silent:.0f} ms")
         part = cache.trickle(now)
@@ -527,7 +527,7 @@
     def _learn(self, now: float, rpc: Rpc, cache: Cache, outcome: str, took: float, note: str | None,
                fetch: float, report: object = None) -> None:
         usual, cold = self.typical[rpc.method], self._cold(now, cache)
-        pace = min(took / usual, 10.0) if usual else cache.pace  # answer time over the method's usual
+        pace = min(took / max(usual, BRIEF * self.soonest), 10.0) if usual else cache.pace  # over the usual
         self._zone(now, cache, outcome, now - took)
         # A slow origin is not the cache's: an answer that took a fetch is measured apart.
         fetched = note == "fetched" or (rpc.write and not self.aside)
