--- a/calicofall/facade.py
+++ b/calicofall/facade.py
@@ -67,10 +67,6 @@
         """How many processes this proxy has now, each with one such part."""
         self.policy.parts = parts
 
-    def stalled(self, now: float) -> None:
-        """This proxy has stood still until now: what lies unread says that no cache was silent."""
-        self.policy.awake = now
-
     def tick(self, now: float) -> float:
         """After what happened at one time: gathers lines and chores; ms until the next tick."""
         wait, errands = self.policy.wait(now)
--- a/calicofall/net/proxy.py
+++ b/calicofall/net/proxy.py
@@ -35,7 +35,6 @@
 SPARE = 32  # descriptors that are neither clients' nor caches', or about to close
 BASE = 24  # MB that a proxy takes with nothing in hand
 BATCH = 0.003  # s within which events share a tick
-STALLED = 0.03  # s that a tick may be overdue; from there on the proxy itself has stood still
 OFTEN = 0.25  # s between two rounds of upkeep
 WHOLE = 20  # rounds after which all that lives is looked through for what is out of use
 LINGER = 0.5  # s after SIGTERM in which new connections still come
@@ -147,8 +146,6 @@
         turn.client.faults = 0
         self.open.add(parts[2])
         now = self.now()
-        if self.loop.time() > self.tick_at + STALLED:
-            self.router.stalled(now)
         method = self.methods[fields["method"]]
         until = now + min(fields["patience"], method["hard_deadline"])
         # Guards against late requests that hold a connection of a proxy that is to be empty.
--- a/calicofall/policy.py
+++ b/calicofall/policy.py
@@ -170,7 +170,7 @@
         self.scale, self.middle, self.slowest = 1.0, 1.0, inf  # slowest: the longest usual time of a method
         top = max((method.get("gain") or 1.0 for method in self.methods.values()), default=1.0)
         self.rank = {name: (method.get("gain") or 1.0) / top for name, method in self.methods.items()}
-        self.awake, self.review_at, self.measure_at, self.fade_at, self.overloaded = now, now, now, inf, False
+        self.review_at, self.measure_at, self.fade_at, self.overloaded = now, now, inf, False
 
     def listed(self, now: float, kind: str, version: int | None, entries: list[tuple]) -> None:
         if kind == "failed":
@@ -294,7 +294,7 @@
     def _fit(self, now: float, cache: Cache) -> bool:
         """Whether a cache is sent what it owns: by chance, where something speaks against it."""
         # Guards against caches that keep what they get and say nothing, long before time-outs tell.
-        silent, waiting = now - max(cache.heard, self.awake), cache.held  # one slow answer is no silence
+        silent, waiting = now - cache.heard, cache.held  # one slow answer is no silence
         if waiting and silent > max(self.soonest, (3.0 + 5.0 / waiting) * self.fetch_usual):
             self._set_aside(now, cache, 1 / 16, f"silent for {silent:.0f} ms")
         part = cache.trickle(now)
