--- a/calicofall/__main__.py
+++ b/calicofall/__main__.py
@@ -43,6 +43,7 @@
         if node.get("known"):
             words.listing(node["known"])
         words.check(node["settings"])
+        words.starts(node)
         deployment = words.deployment(node["settings"])
         for method in deployment["methods"]:
             for part in ("name", "repeats", "window", "soft_deadline", "hard_deadline"):
@@ -103,6 +104,21 @@
     click.echo(f"{node['name']}: {len(methods)} methods, {len(known)} caches known")
 
 
+class Apart(click.Group):
+    """The stage's commands, read only when asked for: a proxy that serves loads none of it."""
+
+    def list_commands(self, context: click.Context) -> list[str]:
+        return ["list", "report", "run"]
+
+    def get_command(self, context: click.Context, name: str) -> click.Command | None:
+        from calicofall.stage.__main__ import stage
+
+        return stage.get_command(context, name)
+
+
+main.add_command(Apart("stage", help="Many processes with faults between them, and a referee."))
+
+
 @main.command()
 def version() -> None:
     """Say which version this is."""
--- a/calicofall/facade.py
+++ b/calicofall/facade.py
@@ -9,7 +9,9 @@
 
 from calicofall.policy import Policy
 from calicofall.rpc import Rpc
+from calicofall.start import snapshot
 
+FETCH = "fetch"  # the usual time of a fetch, among those of methods
 SLACK = 0.01  # ms; a wait that ends within it has ended
 
 
@@ -67,6 +69,32 @@
         """How many processes this proxy has now, each with one such part."""
         self.policy.parts = parts
 
+    def learned(self, now: float) -> dict[str, dict[str, float]]:
+        """What this life has found out: limits, usual times (ms), parts of set-aside caches."""
+        policy = self.policy
+        usual = {name: value for name, value in policy.typical.items() if name and value}
+        return {"limits": {"fleet": policy.fleet.value, "origin": policy.origin.value},
+                "usual": usual | {FETCH: policy.fetch_usual},
+                "parts": {c.name: c.trickle(now) for c in policy.caches.values() if c.trickle(now) < 1.0}}
+
+    def relearn(self, now: float, learned: dict[str, dict[str, float]]) -> None:
+        """Begins from what a former life found out, as start/snapshot.py lets it count."""
+        if not learned:
+            return
+        policy, held = self.policy, snapshot.usable(learned, set(self.policy.caches))
+        for name, limit in (("fleet", policy.fleet), ("origin", policy.origin)):
+            limit.value = max(limit.value, held["limits"].get(name, 0.0))
+        policy.fetch_usual = held["usual"].get(FETCH, policy.fetch_usual)
+        usual = held["usual"].items()
+        policy.typical.update({name: value for name, value in usual if name in policy.typical})
+        for name, part in held["parts"].items():
+            cache = policy.caches[name]
+            cache.part, cache.part_at, cache.aside = part, now, part <= 0.25
+
+    def settled(self) -> bool:
+        """Whether the limits rest on usual times that were measured."""
+        return any(self.policy.typical.values())
+
     def tick(self, now: float) -> float:
         """After what happened at one time: gathers lines and chores; ms until the next tick."""
         wait, errands = self.policy.wait(now)
--- a/calicofall/net/caches.py
+++ b/calicofall/net/caches.py
@@ -12,12 +12,14 @@
 from math import inf
 from select import POLLIN, poll
 from typing import Any, Protocol
+from zlib import crc32
 
 from calicofall import words
 from calicofall.holds import holds
 from calicofall.net import resp
 from calicofall.net.figures import Figures
 from calicofall.net.stream import Stream
+from calicofall.start.shares import Shares
 
 EACH = 32  # connections to a cache at most
 READY = 2  # of these, kept at rest or coming up beside those in use
@@ -65,6 +67,7 @@
         self.spoilt = False  # what came is no answer: what waits here has failed and may have run
         self.moved, self.watcher = 0.0, None  # when an answer that is not whole grew last; who looks after it
         self.eye: poll | None = None
+        self.begins = 0.0  # when it is to be opened: a connection that waits for its turn
         self.up = self.late = False  # late: an answer is overdue, and nothing has come since
         self.idle_since = 0.0
         self.held = False  # reading is paused, for the client takes no more
@@ -229,11 +232,16 @@
         self.address: tuple[str, int] | None = None
         self.lines: dict[Line, None] = {}  # in the order they were opened
         self.wanted = True  # neither draining nor gone
+        self.turn = crc32(name.encode())  # moves the order of turns round, so that a proxy's are not at once
 
-    def line(self) -> Line | None:
-        """The connection for the next transmission: one that rests, one that comes up, or the least busy."""
+    def line(self, patience: float) -> Line | None:
+        """The connection for the next transmission: one that rests, one that comes up, or the least busy.
+
+        One whose turn to be opened comes later than `patience` (s) is none.
+        """
+        latest = self.caches.loop.time() + patience
         settled = self.caches.loop.time() - SETTLE
-        free = [line for line in self.lines if not line.queue]
+        free = [line for line in self.lines if not line.queue and line.begins <= latest]
         if len(free) > 1:
             free.sort(key=lambda line: (line.up, min(0.0, settled - line.idle_since), line.idle_since))
         while free:
@@ -244,21 +252,44 @@
         # Guards against a silent machine, whose open connections would take RPC after RPC to their time-out,
         # while a new one that does not come up proves each not run.
         prompt = [line for line in self.lines if not line.late]
-        if len(prompt) < self.caches.each and (line := self.more()) is not None:
+        if len(prompt) < self.caches.each and (line := self.more(patience)) is not None:
             return line
-        usable = [line for line in prompt or self.lines
-                  if len(line.queue) < self.caches.streams and line.place == self.address]
+        usable = [line for line in prompt or self.lines if line.begins <= latest
+                  and len(line.queue) < self.caches.streams and line.place == self.address]
         return min(usable, key=lambda line: len(line.queue), default=None)
 
-    def more(self) -> Line | None:
-        """One more connection, if there is room for it."""
-        if len(self.lines) >= self.caches.each + SPARES or not self.caches.room():
+    def more(self, patience: float = 0.0) -> Line | None:
+        """One more connection, if there is room for it, and its turn comes within `patience` (s)."""
+        caches = self.caches
+        most = caches.each + SPARES if caches.shares.most is None else caches.shares.most
+        if len(self.lines) >= most or not caches.room():
+            return None
+        now = caches.loop.time()
+        begins = caches.shares.begin(self.name, self.turn, now, now + caches.wall)
+        if begins > now + patience:
+            caches.shares.back(self.name, begins)
             return None
         line = Line(self)
         self.lines[line] = None
-        self.caches.open(self.caches.loop, line, self.address, self.caches.dial)
+        line.begins = begins
+        self.begin(line)
         return line
 
+    def begin(self, line: Line) -> None:
+        """Opens a connection once its turn has come."""
+        now = self.caches.loop.time()
+        if line.closed:
+            return
+        if line.begins > now:
+            self.caches.loop.call_at(line.begins, self.begin, line)
+        elif self.caches.shares.lapsed(self.name, line.begins, now):
+            # Guards against a crowd that was stopped while it waited for its turns, and wakes together.
+            line.begins = self.caches.shares.begin(self.name, self.turn, now, now + self.caches.wall)
+            self.begin(line)
+        else:
+            line.begins = 0.0
+            self.caches.open(self.caches.loop, line, self.address, self.caches.dial)
+
     def warm(self) -> None:
         """Opens ahead what will be needed.
 
@@ -284,7 +315,9 @@
 class Caches:
     def __init__(self, loop: asyncio.AbstractEventLoop, caps: dict, most: int, ahead: bool,
                  open: Callable, taker: Callable, bound: Callable, outcome: Callable,
-                 figures: Figures) -> None:
+                 figures: Figures, shares: Shares, wall: float) -> None:
+        self.shares, self.wall = shares, wall  # our parts of what caches bear; s to the common clock
+        self.entries: dict[str, tuple] = {}  # the list as it was told
         self.loop, self.most, self.open, self.outcome = loop, max(1, most), open, outcome
         self.taker, self.bound, self.figures = taker, bound, figures
         self.streams = max(1, int(caps.get("streams_per_conn") or 1))
@@ -334,12 +367,15 @@
         """The list as the module has it, too: where each cache is, and whether it is wanted."""
         if kind != "delta":
             self.named.clear()
+            self.entries.clear()
             for pool in self.pools.values():
                 pool.wanted = False
-        for name, _, _, _, state, _, _ in entries:
+        for entry in entries:
+            name, state = entry[0], entry[4]
             pool = self.pools.get(name) or self.pools.setdefault(name, Pool(self, name))
             pool.wanted = state == "ready"
             (self.named.discard if state == "gone" else self.named.add)(name)
+            self.entries[name] = entry
             try:
                 address = words.place(addresses[name])
             except (KeyError, ValueError):
@@ -352,19 +388,32 @@
                 pool.release()
                 if not pool.lines:
                     del self.pools[name]
+        self.entries = {name: entry for name, entry in self.entries.items() if name in self.named}
+        self.shares.keep(self.named)
         self.spread()
         for pool in self.pools.values():
             pool.warm()
 
+    def known(self, index: int | None) -> dict[str, Any]:
+        """The list that is acted on, in discovery's form."""
+        places = {name: pool.address for name, pool in self.pools.items()}
+        return words.listed(index, list(self.entries.values()), places)
+
     def send(self, name: str, owner: Any, number: int, data: list[bytes], now: float, time_out: float,
-             left: float) -> Sending:
-        """Sends to a cache; the answer is waited for `time_out` ms, of the `left` ms that the RPC has."""
+             left: float, soft: float) -> Sending:
+        """Sends to a cache; the answer is waited for `time_out` ms, of the `left` ms that the RPC has.
+
+        `soft`: ms to its soft deadline. A connection whose turn to be opened comes too late for that is not
+        waited for: the RPC is held back, proven not run and no fault of the cache's.
+        """
         sending = Sending(owner, number, data, now, self.loop.time() + left / 1000.0)
         sending.timer = self.loop.call_later(max(0.0, time_out) / 1000.0, self.late, sending)
         pool = self.pools.get(name)
-        line = pool.line() if pool is not None and pool.wanted and pool.address is not None else None
+        known = pool is not None and pool.wanted and pool.address is not None
+        line = pool.line(self.shares.patience(min(soft, time_out) / 1000.0)) if known else None
         if line is None:
-            self.loop.call_soon(self.done, sending, "unconnected")
+            told = self.shares.handshakes is not None or self.shares.most is not None
+            self.loop.call_soon(self.done, sending, "held" if known and told else "unconnected")
         else:
             line.send(sending)
             pool.warm()
--- a/calicofall/net/discovery.py
+++ b/calicofall/net/discovery.py
@@ -7,18 +7,17 @@
 import asyncio
 import logging
 from collections.abc import Callable
-from random import Random
 
 import orjson
 
 from calicofall import words
 from calicofall.net.stream import Stream
+from calicofall.start.line import Line
 
 SILENT = 3.0  # s without a line, where one comes every 2 s at the latest
 LONGEST = 1 << 20  # bytes of a line
-SOON, UNHEARD = 0.1, 0.5  # s before a try after a watch that broke off, and at most while none answers
-FIRST_PAUSE, LONGEST_PAUSE = 0.05, 0.25  # s after one that was refused, times the proxies that ask together
 HEAD = 8192
+LONGEST_AFTER = 60.0  # s that a service may say to stay away
 log = logging.getLogger("calicofall")
 
 
@@ -33,8 +32,10 @@
         self.stage, self.left, self.line, self.chunked = "status", 0, bytearray(), False
         self.heard = discovery.loop.time()
         self.refused = False  # answered, but not with a list
+        self.after = 0.0  # s that it said to stay away
 
     def opened(self) -> None:
+        self.discovery.phase("list asked")
         since = f"&since={self.discovery.since}" if self.discovery.since is not None else ""
         self.write(f"GET /api/targets?follow=1{since} HTTP/1.1\r\nHost: {self.discovery.host}\r\n"
                    "Accept: application/json\r\n\r\n".encode())
@@ -66,12 +67,17 @@
             return False
         text = self.inward.take(end + 1).rstrip(b"\r\n")
         if self.stage == "status":
-            if text.split(b" ")[1:2] != [b"200"] or not text.startswith(b"HTTP/1."):
-                self.refused = True
-                raise Wrong(f"answered {text[:40]!r}")
+            self.refused = text.split(b" ")[1:2] != [b"200"] or not text.startswith(b"HTTP/1.")
+            self.why = f"answered {text[:40]!r}"
             self.stage = "head"
         elif self.stage == "head":
             name, _, value = text.partition(b":")
+            if self.refused:
+                if name.lower() == b"retry-after" and value.strip().isdigit():
+                    self.after = min(float(value), LONGEST_AFTER)
+                if not text:
+                    raise Wrong(self.why)
+                return True
             self.chunked = self.chunked or (
                 name.lower() == b"transfer-encoding" and value.strip().lower() == b"chunked")
             if not text:
@@ -112,28 +118,49 @@
 
 
 class Discovery:
-    """Keeps a watch open, whatever becomes of it."""
+    """Keeps a watch open, whatever becomes of it. `line` says when to ask."""
 
     def __init__(self, loop: asyncio.AbstractEventLoop, open: Callable, address: str, since: int | None,
-                 chance: Random, news: Callable, failed: Callable, proxies: int = 1,
-                 longest: float = 5.0) -> None:
-        self.loop, self.open, self.chance, self.news, self.failed = loop, open, chance, news, failed
+                 line: Line, news: Callable, failed: Callable, phase: Callable) -> None:
+        self.loop, self.open, self.line, self.news, self.failed = loop, open, line, news, failed
+        self.phase = phase
         self.host, self.place, self.since = address, words.place(address), since
         self.watch: Watch | None = None
-        # Guards against a jam that reopening feeds: all proxies lose their watch at once, and an overbooked
-        # service refuses each in vain. Together they ask no more often than a few would. One that broke off
-        # is opened again at once, though: what the agent is told meanwhile binds before the grace is over.
-        self.first, self.longest = FIRST_PAUSE * proxies, min(longest, max(1.0, LONGEST_PAUSE * proxies))
-        self.pause = 0.0  # s before the next try
         self.again: asyncio.TimerHandle | None = None  # the next try
+        self.sense: Callable[[Callable[[float], None]], None] | None = None  # tells how many stand in line
         self.stopped = self.down = self.heard = False  # heard: the agent has said how the list stands
         self.answered = asyncio.Event()  # heard, or refused: it has nothing to tell
+        self.first = asyncio.Event()  # heard
 
     def start(self) -> None:
-        if not self.stopped:
-            self.watch = Watch(self)
-            self.open(self.loop, self.watch, self.place, SILENT)
-            self.loop.call_later(SILENT, self.listen, self.watch)
+        """The first try of a life, or the first at another agent."""
+        self.queue()
+
+    def queue(self) -> None:
+        """Into the line, behind as many as stand there."""
+        if self.sense is not None and self.line.senses():
+            self.sense(lambda part: self.wait(self.line.enter(self.loop.time(), part)))
+        else:
+            self.wait(self.line.enter(self.loop.time()))
+
+    def wait(self, at: float) -> None:
+        if self.again is not None:
+            self.again.cancel()
+        if at <= self.loop.time():
+            self.ask()
+        else:
+            self.again = self.loop.call_at(at, self.ask)
+
+    def ask(self) -> None:
+        later = self.line.due(self.loop.time())
+        if self.stopped or (self.watch is not None and not self.watch.closed):
+            return
+        if later is not None:
+            self.wait(later)
+            return
+        self.watch = Watch(self)
+        self.open(self.loop, self.watch, self.place, SILENT)
+        self.loop.call_later(SILENT, self.listen, self.watch)
 
     def listen(self, watch: Watch) -> None:
         """Guards against a watch that has died without a word: keep-alive notices nothing."""
@@ -147,9 +174,16 @@
     def answers(self) -> None:
         self.heard = True
         self.answered.set()
+        self.first.set()
+        self.phase("list heard")
+
+    @property
+    def live(self) -> bool:
+        """Whether the watch is up, and has said something."""
+        return self.heard and not self.down
 
     def told(self, kind: str, index: int | None, entries: list[tuple], addresses: dict[str, str]) -> None:
-        self.pause = 0.0
+        self.line.served()
         self.answers()
         if self.down:
             self.down = False
@@ -164,23 +198,25 @@
     def lost(self, watch: Watch) -> None:
         if self.stopped or watch is not self.watch:  # guards against two watches after a move
             return
+        fresh = not self.down and self.heard
         if not self.down:
             self.down = True
             log.warning("list watch lost", extra={"reason": watch.why, "index": self.since})
         self.failed()
-        # Guards against all proxies asking again at one time. No pause is longer than the 6 s after which
-        # what discovery has to tell binds, heard or not.
         if watch.refused:
+            # An agent that refuses has nothing to tell: who has a list goes on by it.
             self.answered.set()
-            self.pause = min(self.longest, max(self.first, self.pause * 2))
+            self.wait(self.line.refused(self.loop.time(), watch.after))
+        elif fresh and self.line.senses():
+            self.queue()  # guards against a service that comes back to all its watches at once
         else:
-            self.pause = min(max(UNHEARD, self.pause), max(SOON, self.pause * 2))
-        self.again = self.loop.call_later(self.pause * self.chance.uniform(0.8, 1.1), self.start)
+            self.wait(self.line.broke(self.loop.time()))
 
     def move(self, address: str) -> None:
         """Another agent from here on. Its versions are its own: the whole list is asked for, ours holds."""
         if address != self.host:
-            self.host, self.place, self.since, self.pause = address, words.place(address), None, 0.0
+            self.host, self.place, self.since = address, words.place(address), None
+            self.line.served()
             watch, self.watch = self.watch, None
             if watch is not None:
                 watch.cut()
--- /dev/null
+++ b/calicofall/net/peers.py
@@ -0,0 +1,88 @@
+"""The address where starting proxies ask each other who stands in line.
+
+Owns one datagram socket and the sample that is out. Must never decide what a sample means, answer what is
+mangled or of another fleet, or send to a peer more than one datagram for each of its own.
+"""
+
+import asyncio
+import logging
+from collections import Counter
+from collections.abc import Callable
+
+from calicofall.start import talk
+from calicofall.start.crowd import Crowd
+
+SELDOM = 10.0  # s between two lines about mangled datagrams
+log = logging.getLogger("calicofall")
+
+
+class Peers(asyncio.DatagramProtocol):
+    def __init__(self, loop: asyncio.AbstractEventLoop, crowd: Crowd, fleet: str, life: int,
+                 places: list[tuple[str, int]], served: Callable[[], bool]) -> None:
+        self.loop, self.crowd, self.fleet, self.life, self.places = loop, crowd, fleet, life, places
+        self.served = served
+        self.transport: asyncio.DatagramTransport | None = None
+        self.then: Callable[[float], None] | None = None  # who waits for the sample
+        self.timer: asyncio.TimerHandle | None = None
+        self.dropped: Counter[str] = Counter()
+        self.tell_at = 0.0
+
+    async def open(self, place: tuple[str, int]) -> None:
+        try:
+            await self.loop.create_datagram_endpoint(lambda: self, local_addr=place)
+        except OSError as reason:
+            raise OSError(f"{place[0]}:{place[1]}: {reason.strerror}") from None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = transport
+
+    def sense(self, then: Callable[[float], None]) -> None:
+        """Asks a sample of peers; `then` is told the part of the fleet that stands in line."""
+        self.then = then
+        mark, peers = self.crowd.ask(self.loop.time())
+        if self.timer is not None:
+            self.timer.cancel()
+        self.timer = self.loop.call_at(self.crowd.until, self.look)
+        for peer in peers:
+            self.say(peer, talk.Word(True, self.crowd.me, self.life, mark, self.served()))
+        self.look()
+
+    def look(self) -> None:
+        part = self.crowd.known(self.loop.time())
+        if part is not None and self.then is not None:
+            then, self.then = self.then, None
+            self.timer.cancel()
+            then(part)
+
+    def say(self, peer: int, word: talk.Word) -> None:
+        if self.transport is not None and not self.transport.is_closing():
+            self.transport.sendto(talk.write(self.fleet, word), self.places[peer])
+
+    def datagram_received(self, data: bytes, addr: tuple) -> None:
+        try:
+            word = talk.read(data, self.fleet, self.crowd.proxies)
+        except talk.Mangled as reason:
+            self.drop(str(reason))
+            return
+        if word.asks:
+            self.say(word.sender, talk.Word(False, self.crowd.me, self.life, word.mark, self.served()))
+        elif self.crowd.told(word.mark, word.sender, word.served):
+            self.look()
+        else:
+            self.drop("unasked")
+
+    def error_received(self, exc: Exception) -> None:
+        pass  # a peer that is down: its silence says the same
+
+    def drop(self, why: str) -> None:
+        """Few lines about many datagrams."""
+        self.dropped[why] += 1
+        if self.loop.time() >= self.tell_at:
+            log.warning("datagrams dropped", extra=dict(self.dropped))
+            self.tell_at = self.loop.time() + SELDOM
+
+    def close(self) -> None:
+        if self.timer is not None:
+            self.timer.cancel()
+        if self.transport is not None:
+            self.transport.close()
--- a/calicofall/net/proxy.py
+++ b/calicofall/net/proxy.py
@@ -11,6 +11,7 @@
 import tempfile
 import time
 from collections.abc import Callable
+from contextlib import suppress
 from itertools import count
 from random import Random
 from typing import Any
@@ -26,10 +27,18 @@
 from calicofall.net.discovery import Discovery
 from calicofall.net.emptying import TAKEN, Emptying
 from calicofall.net.figures import Figures
+from calicofall.net.keep import Keep
 from calicofall.net.lease import Lease
 from calicofall.net.management import Management
-from calicofall.net.stream import Door, connect
+from calicofall.net.peers import Peers
+from calicofall.net.stream import Door, connect, free
 from calicofall.rpc import Rpc
+from calicofall.start import snapshot
+from calicofall.start.crowd import Crowd
+from calicofall.start.grid import Grid
+from calicofall.start.line import Line
+from calicofall.start.phases import Phases
+from calicofall.start.shares import Shares
 
 FEW = 7  # proxies up to which connections are opened ahead
 SPARE = 32  # descriptors that are neither clients' nor caches', or about to close
@@ -67,6 +76,8 @@
         self.tenants = {tenant["name"] for tenant in deployment.get("tenants") or []}
         self.asks = deployment.get("discovery") == "ask"
         seed = words.seed(node["seed"])
+        self.starts = words.starts(node)  # what the operators' file says of starts
+        self.phases = Phases(loop.time())
         self.lease: Lease | None = None
         self.router = Router(deployment, seed, self.now())
         self.patience = max([m["hard_deadline"] for m in self.methods.values()], default=3000.0) / 1000.0
@@ -78,18 +89,33 @@
             "current": lambda: len(self.calls), "cluster_size": lambda: len(self.caches.named),
             "cluster_unhealthy": lambda: self.router.avoided(self.now())})
         sockets, of_caches, room = self.budget(1)
+        me, wall = deployment.get("me") or 0, (loop.time() * 1000.0 + self.offset) / 1000.0
+        self.shares = Shares(me, proxies, self.starts.get("handshakes"), self.starts.get("connections"))
         self.caches = Caches(loop, deployment["caps"], of_caches, ahead, open, self.taker, self.bound,
-                             self.outcome, self.figures)
+                             self.outcome, self.figures, self.shares, wall - loop.time())
         self.clients = Clients(loop, sockets, room, self.patience, self.ask, self.left)
         self.clients.others = self.caches.count
         self.emptying = Emptying(loop, self.clients)
         self.management = Management(loop, self.call)
         self.caches.shared = self.clients.room
-        known = node.get("known") or {}
+        known, self.learned = node.get("known") or {}, {}
+        self.keep: Keep | None = None
+        if "snapshot" in self.starts:
+            self.keep = Keep(loop, self.starts["snapshot"], node["name"], self.snapshot)
+            if (held := self.keep.load(wall, self.starts["oldest"])) is not None:
+                known, self.learned = held
         # A chance of its own: the module's is for its decisions alone.
-        self.discovery = Discovery(loop, open, node["discovery"], known.get("index"), Random(seed + 1),
-                                   self.told, self.unheard, proxies,
-                                   (deployment["rules"].get("ask_every") or 10_000.0) / 2000.0)
+        chance, room_told = Random(seed + 1), self.starts.get("watches")
+        grid = Grid(me, proxies, room_told, loop.time(), wall) if room_told else None
+        line = Line(chance, proxies, (deployment["rules"].get("ask_every") or 10_000.0) / 2000.0, grid)
+        self.discovery = Discovery(loop, open, node["discovery"], known.get("index"), line, self.told,
+                                   self.unheard, self.reach)
+        self.peers: Peers | None = None
+        if "speak" in self.starts:
+            life = chance.getrandbits(48)  # a number of this life: an answer to a former one is none to us
+            self.peers = Peers(loop, Crowd(me, proxies, room_told, chance), self.starts["fleet"], life,
+                               self.starts["peers"], lambda: self.discovery.live)
+            self.discovery.sense = self.peers.sense
         self.calls: dict[str, Call] = {}
         self.open: set[bytes] = set()  # the ids of RPCs in hand, as clients named them
         self.ids, self.rounds = count(), 0
@@ -101,6 +127,7 @@
         if known:
             _, index, entries, addresses = words.listing(known)
             self.news("cached", index, entries, addresses)
+            self.router.relearn(self.now(), self.learned)
 
     def budget(self, parts: int) -> tuple[int, int, int]:
         """Connections, those to caches at most, bytes of commands in hand: of one of so many processes."""
@@ -117,15 +144,30 @@
         Guards against serving on the list of a former life: what the agent was told since binds already, and
         a herd of 143 sent to caches that had drained before it was back.
         """
-        began = self.loop.time()
-        try:
+        with suppress(TimeoutError):
             async with asyncio.timeout(HEARD):
                 await self.discovery.answered.wait()
-        except TimeoutError:
-            pass
+        if not self.discovery.heard and not self.caches.named:
+            # Guards against a door that says yes with nothing behind it: more than half of a fleet of 200
+            # that started together refused all it got for 15 s, and the front went on dealing it clients.
+            free(words.place(self.node["listen"]))  # who cannot open later is told now
+            log.warning("no list", extra={"door": "closed until one is heard"})
+            await self.discovery.first.wait()
         if not self.discovery.heard:
             log.warning("serving on an old list", extra={"index": self.discovery.since})
-        log.debug("list waited for", extra={"ms": round((self.loop.time() - began) * 1000.0)})
+
+    def reach(self, phase: str) -> None:
+        """A start has come as far as this; told once each."""
+        ms = self.phases.reach(phase, self.loop.time())
+        if ms is not None:
+            log.info("start", extra={"phase": phase, "ms": ms})
+
+    def snapshot(self) -> bytes | None:
+        """What the next life may begin from; nothing while the list is not known to hold."""
+        if not self.discovery.live:
+            return None
+        return snapshot.write(self.node["name"], self.now() / 1000.0, self.caches.known(self.discovery.since),
+                              self.router.learned(self.now()))
 
     # What the list says
 
@@ -180,8 +222,9 @@
         if cache is not None:
             holds(not rpc.over and now < rpc.until, "nothing is sent for an RPC that is over")
             data = resp.pieces(words.passed_on(call.parts, rpc.time_out))
+            soft = rpc.arrived + self.methods[rpc.method]["soft_deadline"] - now
             call.sending = self.caches.send(cache, call, len(rpc.sent) - 1, data, now, rpc.time_out,
-                                            rpc.until - now)
+                                            rpc.until - now, soft)
         elif rpc.answer == "exhausted":
             ms = round(rpc.come_back)
             self.answer(now, call, resp.fault(f"BUSY {ms}" if ms > 0 else "BUSY"))
@@ -194,6 +237,8 @@
         self.over(call)
         if turn is not None:
             self.figures.answered(rpc.answer, rpc.method)
+            if rpc.answer == "completed" and "first RPC" not in self.phases.reached:
+                self.reach("first RPC")
             self.times[rpc.method].record_value(max(1, round((call.began or now) - rpc.arrived)))
             turn.give(data)
 
@@ -287,6 +332,8 @@
 
     def upkeep(self) -> None:
         self.share()
+        if "limits found" not in self.phases.reached and self.router.settled():
+            self.reach("limits found")
         self.caches.retire()
         self.clients.sweep()
         # Guards against growth: asyncio's transports are cycles, which live on in the older generations
@@ -308,8 +355,15 @@
         finally:
             self.lease.release()
             self.management.close()
+            for part in (self.peers, self.keep):
+                if part is not None:
+                    part.close()
 
     async def run(self) -> None:
+        if self.peers is not None:
+            await self.peers.open(self.starts["speak"])
+        if self.keep is not None:
+            self.keep.start()
         self.discovery.start()
         self.upkeep()
         self.soon()
@@ -322,6 +376,7 @@
         self.door = Door(self.loop, words.place(self.node["listen"]), self.clients.room, self.clients.admit,
                          shared=True)
         self.lease.serve()
+        self.reach("door open")
         self.loop.add_signal_handler(signal.SIGTERM, self.terminate)
         self.loop.add_signal_handler(signal.SIGINT, self.terminate)
         log.info("serving", extra={"proxy": self.node["name"], "listen": self.node["listen"],
@@ -342,7 +397,7 @@
         except Exception as reason:  # guards against a proxy that ends, or half changes, for a bad file
             log.warning("configuration kept", extra={"reason": str(reason)})
             return
-        held = [name for name in ("name", "listen", "mgmt", "limits", "settings")
+        held = [name for name in ("name", "listen", "mgmt", "limits", "settings", "start")
                 if node.get(name) != self.node.get(name)]
         self.discovery.move(node["discovery"])
         log.info("configuration reread", extra={"discovery": node["discovery"],
@@ -361,6 +416,8 @@
             return f"{SAID_OK if self.serving() else SAID_NO} {self.state()}"
         if name == "counters":
             return "\n".join([SAID_OK, *self.figures.lines(), "."])
+        if name == "phases":
+            return "\n".join([SAID_OK, *self.phases.lines(), "."])
         if name == "quiesce":
             if self.door is None:
                 return f"{SAID_NO} {self.state()}"
@@ -373,7 +430,7 @@
                 return f"{SAID_NO} terminating"
             self.say("resumed")
             return f"{SAID_OK} {self.state()}"
-        return f"{SAID_NO} unknown call: health, counters, quiesce or resume"
+        return f"{SAID_NO} unknown call: health, counters, phases, quiesce or resume"
 
     def serving(self) -> bool:
         return self.door is not None and self.emptying.began is None
--- a/calicofall/net/stream.py
+++ b/calicofall/net/stream.py
@@ -153,6 +153,17 @@
     return task
 
 
+def free(place: tuple[str, int]) -> None:
+    """Raises where nobody can listen, without listening there."""
+    with socket.socket(socket.AF_INET, socket.SOCK_STREAM) as plug:
+        plug.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        plug.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
+        try:
+            plug.bind(place)
+        except OSError as reason:
+            raise OSError(f"{place[0]}:{place[1]}: {os.strerror(reason.errno or 0)}") from None
+
+
 class Door:
     """Takes connections, a few a turn, while there is room for one more.
 
--- a/calicofall/policy.py
+++ b/calicofall/policy.py
@@ -72,8 +72,7 @@
         return self.held < most and self.spare > (1 - part) * self.value * SPAN
 
     def room(self, now: float, part: float) -> bool:
-        free = self.free(now, part)
-        self.short = self.short or not free
+        self.short = not (free := self.free(now, part)) or self.short
         return free
 
     def review(self, now: float) -> None:
@@ -502,9 +501,8 @@
             cache.heard = now
         cache.held += 1
         if cache.name in self.caches:
-            self.flow.add(now)
-            self.sent.add(now)
-            cache.sent.add(now)
+            for ring in (self.flow, self.sent, cache.sent):
+                ring.add(now)
             self.fleet.take(now, 1.0)
         if cache is self.ledger:  # guards against a limit filled by what is on a slow way to an idle origin
             fetch = self.fetch_usual / (self.fetch_usual + self._way(cache))
@@ -571,8 +569,10 @@
         self.origin.take(now, -tx.fetch * load)
         if cache is not None:
             self.fleet.take(now, -load)
-            cache.held, cache.heard = cache.held - load, cache.heard if outcome == "timeout" else now
-            self._learn(now, rpc, cache, outcome, took, note, tx.fetch, report)
+            cache.held -= load
+            if outcome != "held":  # guards against blaming a cache for what the fleet's share held back
+                cache.heard = cache.heard if outcome == "timeout" else now
+                self._learn(now, rpc, cache, outcome, took, note, tx.fetch, report)
             # Guards against hundreds of proxies each keeping a connection until it goes idle, used once.
             cost = self.sent.count(now) * self.proxies * self.dear
             if not cache.held and cost > 100.0 * len(self.usable) * cache.sent.count(now):
@@ -584,7 +584,7 @@
         rpc.missed = rpc.missed or outcome == "missed"
         if cache is None and outcome in ("full", "unconnected"):
             return self._later(now, rpc, method)  # guards against RPCs sent to a stopped origin over and over
-        if outcome in ("missed", "full", "unconnected", "moot") or self._may_retry(now, rpc, outcome):
+        if outcome in ("missed", "full", "unconnected", "moot", "held") or self._may_retry(now, rpc, outcome):
             return self.where(now, rpc)
         return self._give_up(rpc, method)
 
--- a/calicofall/rpc.py
+++ b/calicofall/rpc.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass, field
 
 # Outcomes of a transmission that prove it never ran; every other one, and none yet, may have run.
-NOT_RUN = frozenset({"full", "unconnected", "moot", "missed"})
+NOT_RUN = frozenset({"full", "unconnected", "moot", "held", "missed"})
 
 
 @dataclass(slots=True)
--- /dev/null
+++ b/calicofall/stage/__main__.py
@@ -0,0 +1,86 @@
+"""The command line of the stage: run, list, report.
+
+Owns how drills are named and how runs end. Must never start anything for a wrong drill, or leave a process.
+"""
+
+import sys
+import tempfile
+from pathlib import Path
+
+import click
+
+PASSED, BROKEN, WRONG, VOID = 0, 1, 2, 3  # exit codes
+
+
+class Stop(click.ClickException):
+    exit_code = WRONG
+
+
+@click.group()
+def stage() -> None:
+    """Many processes of the program with faults between them, and a referee."""
+
+
+@stage.command(name="list")
+def listed() -> None:
+    """The drills that ship."""
+    from calicofall.stage import drill
+
+    for name in drill.ready():
+        click.echo(f"{name:24} {drill.load(name).about}")
+
+
+@stage.command()
+@click.argument("file")
+@click.option("--proxies", type=click.IntRange(1, 1000), help="Another number of proxies.")
+@click.option("--seed", type=int, help="Another seed.")
+@click.option("--out", type=click.Path(file_okay=False), help="Where logs and the result go.")
+@click.option("--program", type=click.Path(exists=True, file_okay=False),
+              help="The root of another version whose proxies are played.")
+@click.option("--untold", is_flag=True, help="Proxies are not told the rooms of service and caches.")
+@click.option("--quiet", is_flag=True)
+def run(file: str, proxies: int | None, seed: int | None, out: str | None, program: str | None, untold: bool,
+        quiet: bool) -> None:
+    """Play a drill from FILE, or a ready one by its name. Exit: 0 passed, 1 broken, 2 wrong drill, 3 void."""
+    from calicofall.stage import drill, report
+    from calicofall.stage.play import play
+
+    try:
+        plan = drill.load(file)
+        data = plan.model_dump(exclude_none=True)
+        if proxies is not None:
+            data["fleet"]["proxies"] = proxies
+        if seed is not None:
+            data["seed"] = seed
+        if untold:
+            data["fleet"] |= {"told": False, "speak": False, "snapshot": False}
+        plan = drill.read(data, file)
+    except drill.Wrong as wrong:
+        raise Stop(str(wrong)) from None
+    folder = Path(out or tempfile.mkdtemp(prefix=f"stage-{plan.name}-"))
+    try:
+        verdict, records = play(plan, folder, program and str(Path(program).resolve()), told=lambda line: None
+                                if quiet else click.echo(line, err=True))
+    except KeyboardInterrupt:
+        raise Stop("stopped: all that was started has ended") from None
+    report.keep(folder, plan, verdict, records)
+    report.table(report.load([str(folder)]))
+    click.echo(f"{plan.name}: {verdict.word}; {folder}")
+    sys.exit(VOID if verdict.void else PASSED if verdict.passed else BROKEN)
+
+
+@stage.command(name="report")
+@click.argument("results", nargs=-1, required=True)
+@click.option("--chart", type=click.Path(dir_okay=False), help="A picture of what was seen by second.")
+def shown(results: tuple[str, ...], chart: str | None) -> None:
+    """Results side by side, from files or folders."""
+    from calicofall.stage import report
+
+    try:
+        found = report.load(list(results))
+    except ValueError as wrong:
+        raise Stop(str(wrong)) from None
+    report.table(found)
+    if chart:
+        report.chart(found, chart)
+        click.echo(chart)
--- /dev/null
+++ b/calicofall/stage/drill.py
@@ -0,0 +1,209 @@
+"""Drills: what is played, read from TOML and checked.
+
+Owns the form of a drill. Must never start anything, or let a wrong drill through: that is one line naming
+file, field and what would be right.
+"""
+
+import tomllib
+from pathlib import Path
+from typing import Annotated, Any, Literal
+
+from pydantic import BaseModel, ConfigDict, Field, ValidationError, model_validator
+
+READY = Path(__file__).parent / "drills"
+Share = Annotated[float, Field(ge=0.0, le=1.0)]
+Over0 = Annotated[float, Field(gt=0.0)]
+From0 = Annotated[float, Field(ge=0.0)]
+Count = Annotated[int, Field(ge=1)]
+
+
+class Wrong(Exception):
+    """What is wrong with a drill, in one line."""
+
+
+class Part(BaseModel):
+    model_config = ConfigDict(extra="forbid", frozen=True)
+
+
+class Fleet(Part):
+    proxies: Annotated[int, Field(ge=1, le=1000)]
+    caches: Annotated[int, Field(ge=1, le=200)] = 10
+    zones: Annotated[int, Field(ge=1, le=8)] = 2
+    over: From0 = 0.0  # s over which the proxies are launched
+    speak: bool = False  # proxies ask each other who stands in line
+    told: bool = True  # the operators' file tells the room of the list service and of the caches
+    snapshot: bool = False  # proxies keep one
+    memory_mb: Annotated[int, Field(ge=32)] = 64
+    sockets: Annotated[int, Field(ge=64)] = 256
+
+
+class ServiceRoom(Part):
+    room: Over0 = 100.0  # watches begun a second
+    open: Count = 10_000
+    retry_after_s: Annotated[int, Field(ge=0)] | None = None
+    queue: Annotated[int, Field(ge=0)] = 0
+
+
+class CacheRoom(Part):
+    slots: Count = 8
+    queue: Annotated[int, Field(ge=0)] = 64
+    connections: Count = 256
+    handshakes: Over0 | None = None  # a second, told to the proxies where given
+    handshake_ms: From0 = 2.0
+    hit_ms: Over0 = 4.0
+    keys: Count = 5000
+    cold: bool = True  # all caches begin cold
+    cold_share: Annotated[float, Field(gt=0.0, le=1.0)] = 0.2
+    cold_s: Over0 = 10.0
+    fall_multiple: Over0 = 3.0
+    fall_s: Over0 = 2.0
+
+
+class OriginRoom(Part):
+    fetches: Count = 40
+    fetch_ms: Over0 = 30.0
+
+
+class Traffic(Part):
+    per_s: Over0 = 100.0
+    begins: From0 = 0.0  # s
+    keys: Count = 500
+    skew: From0 = 0.8
+    writes: Share = 0.1  # deduped
+    orders: Share = 0.05  # non-retriable
+    soft_ms: Over0 = 500.0
+    hard_ms: Over0 = 1500.0
+    repeats: Annotated[int, Field(ge=0)] = 3  # of a client that was refused
+    large: Share = 0.0  # of the keys with values of 20 kB
+    notices_s: From0 = 1.0  # after which the front notices a dead proxy
+
+
+Who = Annotated[str, Field(pattern=r"^(all|half|third|caches|list|proxies|zone:[a-h]|[pc]\d+(-[pc]?\d+)?)"
+                                   r"(,(all|half|third|caches|list|proxies|zone:[a-h]|[pc]\d+(-[pc]?\d+)?))*$")]
+
+
+class Timed(Part):
+    at: From0  # s
+    until: From0 | None = None  # where it ends by itself
+
+    @model_validator(mode="after")
+    def later(self) -> "Timed":
+        if self.until is not None and self.until <= self.at:
+            raise ValueError("until has to come after at")
+        return self
+
+
+class ProcessEvent(Timed):
+    do: Literal["kill", "term", "stop", "restart"]  # restart: killed, and started again
+    who: Who
+    over: From0 = 0.0  # s over which they follow each other
+    forget: bool = False  # without what it knew
+
+
+class LinkEvent(Timed):
+    do: Literal["cut", "slow", "delay", "reset", "lose"]
+    who: Who = "all"
+    to: Who = "caches"
+    way: Literal["both", "to", "back"] = "both"
+    amount: From0 = 0.0  # s of delay, bytes a second, part lost
+
+
+class ServiceEvent(Timed):
+    do: Literal["service_down", "service_silent", "service_late", "service_restart", "service_room"]
+    amount: From0 = 0.0  # s late, the first version after a restart, room
+
+
+class CacheEvent(Timed):
+    do: Literal["drain", "remove", "add", "cold", "sick", "burst"]  # burst: traffic times amount
+    who: Who = "all"
+    amount: From0 = 0.0
+
+
+Event = Annotated[ProcessEvent | LinkEvent | ServiceEvent | CacheEvent, Field(discriminator="do")]
+
+
+class Must(Part):
+    """What has to hold, beside the four rules. None: not asked."""
+
+    asks_per_room: Over0 | None = None  # asked of the service in any second, over its room
+    list_factor: Over0 | None = None  # last list heard after the last launch, over proxies / room
+    handshakes: Over0 | None = None  # at any cache in any second
+    connections: Count | None = None  # held at any cache
+    fetches: Count | None = None  # asked of the origin at one time
+    list_before_door: bool = True  # no proxy says yes before it was told a list
+    served: Share | None = None  # of the RPCs of the last third, completed in time
+    serves_all_s: Over0 | None = None  # by when all proxies say yes
+
+
+class Drill(Part):
+    name: Annotated[str, Field(pattern=r"^[a-z0-9-]+$")]
+    about: str = ""
+    seconds: Annotated[float, Field(gt=0.0, le=3600.0)]
+    seed: int = 1
+    fleet: Fleet
+    service: ServiceRoom = ServiceRoom()
+    cache: CacheRoom = CacheRoom()
+    origin: OriginRoom = OriginRoom()
+    traffic: Traffic = Traffic()
+    event: list[Event] = []
+    must: Must = Must()
+
+    @model_validator(mode="after")
+    def fits(self) -> "Drill":
+        for event in self.event:
+            if event.at >= self.seconds:
+                raise ValueError(f"an event at {event.at:g} s comes after the end, {self.seconds:g} s")
+        if self.cache.connections < self.fleet.proxies and self.fleet.told:
+            raise ValueError(f"cache.connections is under the number of proxies, {self.fleet.proxies}")
+        return self
+
+
+def read(data: dict[str, Any], file: str) -> Drill:
+    try:
+        return Drill.model_validate(data)
+    except ValidationError as wrong:
+        first = wrong.errors()[0]
+        field = ".".join(str(part) for part in first["loc"]) or "the drill"
+        raise Wrong(f"{file}: {field}: {first['msg']} (found {str(first['input'])[:60]!r})") from None
+
+
+def load(path: str) -> Drill:
+    """A drill from a file, or a ready one by its name."""
+    file = Path(path)
+    if not file.exists() and (READY / f"{path}.toml").exists():
+        file = READY / f"{path}.toml"
+    try:
+        return read(tomllib.loads(file.read_text()), str(path))
+    except OSError as reason:
+        raise Wrong(f"{path}: {reason.strerror}: a drill's file, or one of {', '.join(ready())}") from None
+    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as reason:
+        raise Wrong(f"{path}: no TOML: {reason}") from None
+
+
+def ready() -> list[str]:
+    return sorted(file.stem for file in READY.glob("*.toml"))
+
+
+def names(who: str, proxies: int, caches: int, zones: int) -> frozenset[str]:
+    """The names that a group stands for: proxies p0, p1, ..., caches c0, c1, ..., the service `list`."""
+    out: set[str] = set()
+    for part in who.split(","):
+        if part in ("all", "proxies"):
+            out.update(f"p{i}" for i in range(proxies))
+        elif part in ("half", "third"):
+            step = 2 if part == "half" else 3
+            out.update(f"p{i}" for i in range(0, proxies, step))
+        elif part == "caches":
+            out.update(f"c{i}" for i in range(caches))
+        elif part == "list":
+            out.add("list")
+        elif part.startswith("zone:"):
+            zone = "abcdefgh".index(part[5:])
+            out.update(f"p{i}" for i in range(proxies) if i % zones == zone)
+            out.update(f"c{i}" for i in range(caches) if i % zones == zone)
+        else:
+            first, _, last = part.partition("-")
+            kind, begin = first[0], int(first[1:])
+            end = int(last.lstrip("pc")) if last else begin
+            out.update(f"{kind}{i}" for i in range(begin, end + 1))
+    return frozenset(out)
--- /dev/null
+++ b/calicofall/stage/play.py
@@ -0,0 +1,374 @@
+"""Plays a drill: starts the proxies, opens the stand-ins, puts faults between them, hands all to the referee.
+
+Owns the processes that it started, and ends them whatever happens. Must never end any other, judge, or let a
+proxy's word into what the referee sees.
+"""
+
+import asyncio
+import os
+import signal
+import subprocess
+import sys
+import time
+from collections.abc import Callable
+from contextlib import suppress
+from pathlib import Path
+from typing import Any
+
+import orjson
+
+from calicofall.stage.clients import Clients
+from calicofall.stage.drill import Drill, names
+from calicofall.stage.links import Fault, Links
+from calicofall.stage.models import Cache, Origin, Service
+from calicofall.stage.records import Life, Records
+from calicofall.stage.referee import Verdict, judge
+from calicofall.stage.wires import CacheStand, Relay, ServiceStand, Wire, address
+
+LOOK = 0.02  # s between two looks at the stage's own lateness
+LATE = 0.05  # s from which it counts
+ZONES = "abcdefgh"
+PROGRAM = [sys.executable, "-O", "-m", "calicofall", "serve"]
+
+
+def ports(count: int) -> list[int]:
+    """Ports that are free now, to be listened at by proxies."""
+    import socket
+
+    plugs = [socket.create_server(("127.0.0.1", 0)) for _ in range(count)]
+    found = [plug.getsockname()[1] for plug in plugs]
+    for plug in plugs:
+        plug.close()
+    return found
+
+
+class Play:
+    def __init__(self, drill: Drill, folder: Path, program: str | None = None,
+                 commands: dict[int, list[str]] | None = None,
+                 told: Callable[[str], None] = lambda line: None) -> None:
+        self.drill, self.folder, self.program, self.commands = drill, folder, program, commands or {}
+        self.tell, self.records, self.links = told, Records(), Links(drill.seed)
+        self.wires: set[Wire] = set()
+        self.processes: dict[str, subprocess.Popen] = {}
+        self.files: list[Any] = []
+        self.waits: dict[str, tuple[float, float]] = {}
+        self.stopping = False
+
+    async def run(self) -> Verdict:
+        self.loop = asyncio.get_running_loop()
+        self.open()
+        cores = sorted(os.sched_getaffinity(0))
+        try:
+            for stand in (*self.caches.values(), self.service):
+                await stand.open()
+            if len(cores) > 2:  # the stage keeps a core to itself, so that what it sees is seen in time
+                os.sched_setaffinity(0, cores[:1])
+            self.cores = cores[1:] if len(cores) > 2 else cores
+            self.records.began = self.began = self.loop.time()
+            self.expected = self.began
+            self.look()
+            self.clients.start(self.began)
+            self.plan()
+            await self.launch_all()
+            while (left := self.began + self.drill.seconds - self.loop.time()) > 0.0:
+                await asyncio.sleep(min(1.0, left))
+                self.progress()
+        finally:
+            self.stopping = True
+            self.records.ended = self.loop.time()
+            self.usage()
+            for name in list(self.processes):
+                self.kill(name)
+            os.sched_setaffinity(0, cores)
+            await self.clients.end()
+            for process in self.processes.values():
+                process.wait()
+            for file in self.files:
+                file.close()
+            for relay in self.relays:
+                relay.close()
+        self.records.fetches = self.origin.spans
+        self.records.falls = [(at, name) for name, stand in self.caches.items() for at in stand.model.falls]
+        self.records.faults = self.links.spans
+        return judge(self.drill, self.records)
+
+    # Stand-ins
+
+    def open(self) -> None:
+        drill, cache = self.drill, self.drill.cache
+        fleet = drill.fleet
+        self.origin = Origin(drill.origin.fetches, drill.origin.fetch_ms / 1000.0)
+        self.doors = {f"p{i}": ("127.0.0.1", port) for i, port in enumerate(ports(fleet.proxies))}
+        self.clients = Clients(self.loop, drill, self.records, self.doors)
+        self.caches: dict[str, CacheStand] = {}
+        for number in range(fleet.caches):
+            self.build(f"c{number}")
+        model = Service(drill.service.room, drill.service.open, drill.service.retry_after_s,
+                        drill.service.queue)
+        self.service = ServiceStand(self, model, lambda: {n: stand.port for n, stand in self.caches.items()})
+        wall, now = time.time(), self.loop.time()
+        for name, stand in self.caches.items():
+            if cache.cold:
+                stand.model.start(now)
+                self.records.cold[name] = [now]
+            model.put(self.entry(name, since=wall if cache.cold else 0.0))
+        self.relays, self.speaks = [], []
+        if fleet.speak:
+            self.speaks = ports(fleet.proxies)
+            self.relays = [Relay(self, i, lambda peer: (self.relays[peer], self.speaks[peer]))
+                           for i in range(fleet.proxies)]
+
+    def build(self, name: str) -> None:
+        cache = self.drill.cache
+        model = Cache(self.origin, cache.slots, cache.queue, cache.connections, cache.handshake_ms / 1000.0,
+                      cache.hit_ms / 1000.0, cache.keys, cache.cold_share, cache.cold_s, cache.fall_multiple,
+                      cache.fall_s)
+        self.caches[name] = CacheStand(self, name, model, self.clients.size)
+
+    def entry(self, name: str, status: str = "SERVING", since: float | None = None) -> dict[str, Any]:
+        before = self.service.model.entries.get(name, {})
+        since_ms = before.get("since_ms", 0) if since is None else round(since * 1000.0)
+        zone = ZONES[int(name[1:]) % self.drill.fleet.zones]
+        return {"name": name, "zone": zone, "type": "box", "group": 0, "status": status, "weight": 1.0,
+                "since_ms": since_ms}
+
+    # Proxies
+
+    def node(self, number: int) -> dict[str, Any]:
+        """What proxy `number` is told."""
+        drill, name = self.drill, f"p{number}"
+        fleet, cache, traffic = drill.fleet, drill.cache, drill.traffic
+
+        def method(name: str, effect: str, gain: float) -> dict[str, Any]:
+            return {"name": name, "effect": effect, "gain": gain, "group": "all", "tardyGain": 0.0,
+                    "softDeadlineNs": round(traffic.soft_ms * 1e6), "windowNs": 5_000_000_000,
+                    "hardDeadlineNs": round(traffic.hard_ms * 1e6), "streaming": False}
+
+        settings = {
+            "balancers": fleet.proxies, "me": number, "kinds": ["box"], "discovery": "push",
+            "failureDomains": list(ZONES[:fleet.zones]), "zone": ZONES[number % fleet.zones],
+            "overageGain": 0.1, "domain": {"mode": "through"},
+            "methods": [method("read", "pure", 1.0), method("save", "token", 3.0),
+                        method("order", "side_effect", 8.0)],
+            "realms": [{"name": "shop", "quotaPerS": traffic.per_s * 2.0, "share": 1.0}],
+            "caps": {"mostTransmissions": 4, "cancel": True, "retryAfter": True,
+                     "maxRetryAfterNs": 2_000_000_000, "streamsPerConn": 8, "dialTimeoutNs": 200_000_000,
+                     "connIdleNs": 30_000_000_000, "secondCopies": False},
+            "rules": {"startCapacity": cache.cold_share, "coldNs": round(cache.cold_s * 1e9),
+                      "fallMultiple": cache.fall_multiple, "fallNs": round(cache.fall_s * 1e9),
+                      "drainGraceNs": 250_000_000, "askEveryNs": 10_000_000_000, "answerSlackNs": 20_000_000}}
+        start: dict[str, Any] = {}
+        if fleet.told:
+            start = {"watchesPerS": drill.service.room, "connections": cache.connections}
+            if cache.handshakes is not None:
+                start["handshakesPerS"] = cache.handshakes
+        if fleet.speak:
+            own = self.relays[number].port
+            start |= {"fleet": drill.name, "speak": f"127.0.0.1:{self.speaks[number]}", "watchesPerS":
+                      drill.service.room, "peers": [f"{address(i)}:{own}" for i in range(fleet.proxies)]}
+        if fleet.snapshot:
+            start["snapshot"] = str(self.folder / name)
+        host, port = self.doors[name]
+        node = {"name": name, "listen": f"{host}:{port}", "seed": f"{drill.seed * 1000 + number + 1:x}",
+                "discovery": f"{address(number)}:{self.service.port}", "settings": settings,
+                "limits": {"cores": 1.0, "memory_mb": fleet.memory_mb, "sockets": fleet.sockets}}
+        return node | ({"start": start} if start else {})
+
+    async def launch_all(self) -> None:
+        fleet = self.drill.fleet
+        for number in range(fleet.proxies):
+            due = self.began + fleet.over * number / fleet.proxies
+            if due > self.loop.time():
+                await asyncio.sleep(due - self.loop.time())
+            await self.launch(number)
+
+    async def launch(self, number: int) -> None:
+        name = f"p{number}"
+        home = self.folder / name
+        home.mkdir(parents=True, exist_ok=True)
+        (home / "node.json").write_bytes(orjson.dumps(self.node(number)))
+        if not any(file.name == str(home / "log") for file in self.files):
+            self.files.append((home / "log").open("ab"))
+        log = next(file for file in self.files if file.name == str(home / "log"))
+        told = {key: value for key, value in os.environ.items() if not key.startswith("PROXY_")}
+        told |= {"PROXY_CONFIG": str(home / "node.json"), "TMPDIR": str(home)}
+        if self.program:
+            told["PYTHONPATH"] = self.program
+        command = self.commands.get(number, PROGRAM)
+
+        def start() -> subprocess.Popen:
+            process = subprocess.Popen(command, env=told, stdin=subprocess.DEVNULL, stdout=log, stderr=log,
+                                       cwd=self.program, close_fds=False)
+            with suppress(OSError):
+                os.sched_setaffinity(process.pid, self.cores)
+            return process
+
+        self.records.lives.append(Life(self.loop.time(), name, "launched"))
+        process = await self.loop.run_in_executor(None, start)
+        self.processes[name] = process
+        if self.stopping:
+            self.kill(name)
+            return
+        eye = os.pidfd_open(process.pid)
+        self.loop.add_reader(eye, self.exited, name, process, eye)
+
+    def exited(self, name: str, process: subprocess.Popen, eye: int) -> None:
+        self.loop.remove_reader(eye)
+        os.close(eye)
+        code = process.wait()
+        if not self.stopping:
+            self.records.lives.append(Life(self.loop.time(), name, "exited", code))
+
+    def kill(self, name: str) -> None:
+        process = self.processes.get(name)
+        if process is not None and process.poll() is None:
+            process.kill()
+
+    def send(self, name: str, number: int, what: str) -> None:
+        process = self.processes.get(name)
+        if process is not None and process.poll() is None:
+            self.records.lives.append(Life(self.loop.time(), name, what))
+            process.send_signal(number)
+
+    async def again(self, name: str, forget: bool) -> None:
+        """Killed, and started again, with or without what it knew."""
+        self.send(name, signal.SIGKILL, "killed")
+        if (process := self.processes.get(name)) is not None:
+            await self.loop.run_in_executor(None, process.wait)
+        if forget:
+            for file in (self.folder / name).glob("*.snapshot"):
+                file.unlink()
+        await self.launch(int(name[1:]))
+
+    # What happens
+
+    def plan(self) -> None:
+        for event in self.drill.event:
+            self.loop.call_at(self.began + event.at, self.begin, event)
+            if event.until is not None and event.do not in ("burst",):
+                self.loop.call_at(self.began + event.until, self.finish, event)
+
+    def group(self, who: str) -> frozenset[str]:
+        fleet = self.drill.fleet
+        return names(who, fleet.proxies, fleet.caches, fleet.zones)
+
+    def begin(self, event: Any) -> None:
+        do = event.do
+        self.tell(f"{event.at:6.1f} s  {do} {getattr(event, 'who', '')}")
+        if do in ("kill", "term", "stop", "restart"):
+            ours = sorted((n for n in self.group(event.who) if n in self.doors), key=lambda n: int(n[1:]))
+            for place, name in enumerate(ours):
+                self.loop.call_later(event.over * place / len(ours), self.process, event, name)
+        elif do in ("cut", "slow", "delay", "reset", "lose"):
+            self.fault(event)
+        elif do == "service_down":
+            self.service.fall()
+        elif do == "service_silent":
+            self.service.silent = True
+        elif do == "service_late":
+            self.service.model.late = event.amount
+        elif do == "service_room":
+            self.service.model.room = event.amount
+        elif do == "service_restart":
+            self.service.fall()
+            self.service.model.restart(int(event.amount))
+            self.service.down = False
+        elif do != "burst":
+            self.cache(event)
+
+    def process(self, event: Any, name: str) -> None:
+        if event.do == "restart":
+            self.clients.hold(self.again(name, event.forget))
+        else:
+            number, what = {"kill": (signal.SIGKILL, "killed"), "term": (signal.SIGTERM, "termed"),
+                            "stop": (signal.SIGSTOP, "stopped")}[event.do]
+            self.send(name, number, what)
+
+    def fault(self, event: Any) -> None:
+        changes: dict[str, Any] = {"slow": {"rate": event.amount}, "delay": {"delay": event.amount},
+                                   "reset": {"reset": True}, "lose": {"loss": event.amount},
+                                   "cut": {way: True for way in ("cut_to", "cut_back")
+                                           if event.way in ("both", way[4:])}}[event.do]
+        ours = frozenset(name for name in self.group(event.who) if name.startswith("p"))
+        fault = Fault(ours, self.group(event.to), changes)
+        self.links.begin(self.loop.time(), fault)
+        self.changed()
+        if event.until is not None:
+            self.loop.call_at(self.began + event.until, self.heal, fault)
+
+    def heal(self, fault: Fault) -> None:
+        self.links.end(self.loop.time(), fault)
+        self.changed()
+
+    def changed(self) -> None:
+        for wire in list(self.wires):
+            wire.changed()
+
+    def cache(self, event: Any) -> None:
+        now, wall = self.loop.time(), time.time()
+        for name in sorted(self.group(event.who)):
+            if event.do == "drain":
+                self.service.change(self.entry(name, "DRAINING"))
+            elif event.do == "remove":
+                self.service.change(self.entry(name, "DELETED"))
+            elif event.do == "sick":
+                self.caches[name].model.slow = max(1.0, event.amount)
+            else:  # add, cold: from nothing
+                self.caches[name].model.start(now)
+                self.records.cold.setdefault(name, []).append(now)
+                self.service.change(self.entry(name, since=wall))
+
+    def finish(self, event: Any) -> None:
+        do = event.do
+        if do == "stop":
+            for name in self.group(event.who) & self.doors.keys():
+                self.send(name, signal.SIGCONT, "woken")
+        elif do in ("kill", "term"):
+            for name in sorted(self.group(event.who) & self.doors.keys()):
+                self.clients.hold(self.again(name, event.forget))
+        elif do == "service_down":
+            self.service.down = False
+        elif do == "service_silent":
+            self.service.speak()
+        elif do == "service_late":
+            self.service.model.late = 0.0
+        elif do == "service_room":
+            self.service.model.room = self.drill.service.room
+        elif do == "sick":
+            for name in self.group(event.who):
+                self.caches[name].model.slow = 1.0
+
+    # What is looked after
+
+    def look(self) -> None:
+        now = self.loop.time()
+        if now - self.expected > LATE:
+            self.records.lags.append((now, now - self.expected))
+        self.expected = now + LOOK
+        self.loop.call_at(self.expected, self.look)
+
+    def usage(self) -> None:
+        """How long proxies ran, and how long they waited for a core, by the system."""
+        ran = waited = 0.0
+        for process in self.processes.values():
+            with suppress(OSError, ValueError):
+                figures = Path(f"/proc/{process.pid}/schedstat").read_text().split()
+                ran, waited = ran + int(figures[0]) / 1e9, waited + int(figures[1]) / 1e9
+        span = max(1e-9, self.records.ended - self.records.began) * max(1, len(self.processes))
+        self.records.waits = waited / span
+        self.ran = ran
+
+    def progress(self) -> None:
+        heard = len({told.proxy for told in self.records.told})
+        asked = sum(ask.what == "asked" for ask in self.records.asked)
+        self.tell(f"{self.loop.time() - self.began:6.1f} s  up {len(self.clients.up)}, lists {heard}, asked "
+                  f"{asked}, RPCs {self.clients.given}, completed {self.clients.done}")
+
+
+def play(drill: Drill, folder: Path, program: str | None = None,
+         commands: dict[int, list[str]] | None = None,
+         told: Callable[[str], None] = lambda line: None) -> tuple[Verdict, Records]:
+    """Plays a drill to its end; all processes that it started are gone then, also after Ctrl-C."""
+    folder.mkdir(parents=True, exist_ok=True)
+    stage = Play(drill, folder, program, commands, told)
+    return asyncio.run(stage.run()), stage.records
--- /dev/null
+++ b/calicofall/stage/records.py
@@ -0,0 +1,106 @@
+"""What the stand-ins and clients saw, by one monotonic clock.
+
+Owns the lists of what was seen. Must never hold a word of a proxy's own about itself, or judge.
+"""
+
+from dataclasses import dataclass, field
+from typing import NamedTuple
+
+
+class Send(NamedTuple):
+    """A command at a cache: when its bytes left the proxy (s), and how long it may be waited for (ms)."""
+
+    at: float
+    proxy: str
+    cache: str
+    id: str
+    method: str
+    mark: str
+    patience: float
+
+
+class Run(NamedTuple):
+    at: float
+    cache: str
+    id: str
+    method: str
+    mark: str
+
+
+class Told(NamedTuple):
+    """A line of a watch, handed to the proxy's connection: names and states."""
+
+    at: float
+    proxy: str
+    entries: tuple[tuple[str, str], ...]
+    whole: bool
+
+
+class Try(NamedTuple):
+    """A client's command, written to a connection that was up."""
+
+    at: float
+    proxy: str
+    id: str
+    method: str
+    hard: float  # s
+
+
+class Answered(NamedTuple):
+    at: float
+    proxy: str
+    id: str  # empty: nothing was owed there
+    kind: str  # completed, exhausted, errored, another's, closed, crossed, none
+
+
+class Life(NamedTuple):
+    at: float
+    proxy: str
+    what: str  # launched, up (its process runs), killed, termed, stopped, woken, exited
+    code: int | None = None
+
+
+class Asked(NamedTuple):
+    at: float
+    proxy: str
+    what: str  # asked, begun, refused
+
+
+class Hand(NamedTuple):
+    """A connection to a cache begun, or ended."""
+
+    at: float
+    proxy: str
+    cache: str
+    begun: bool
+
+
+class Intent(NamedTuple):
+    """What a client wanted: from the intended moment, over all its tries."""
+
+    at: float
+    method: str
+    done: float | None  # when it was completed
+
+
+@dataclass
+class Records:
+    began: float = 0.0
+    ended: float = 0.0
+    sends: list[Send] = field(default_factory=list)
+    outs: dict[int, float] = field(default_factory=dict)  # by a send's place: when it was no longer out
+    runs: list[Run] = field(default_factory=list)
+    told: list[Told] = field(default_factory=list)
+    tries: list[Try] = field(default_factory=list)
+    answers: list[Answered] = field(default_factory=list)
+    lives: list[Life] = field(default_factory=list)
+    asked: list[Asked] = field(default_factory=list)
+    hands: list[Hand] = field(default_factory=list)
+    pongs: list[tuple[float, str]] = field(default_factory=list)
+    intents: list[Intent] = field(default_factory=list)
+    fetches: list[tuple[float, float]] = field(default_factory=list)
+    falls: list[tuple[float, str]] = field(default_factory=list)
+    cold: dict[str, list[float]] = field(default_factory=dict)  # by cache, when it started from nothing
+    lags: list[tuple[float, float]] = field(default_factory=list)  # of the stage itself, over 50 ms
+    waits: float = 0.0  # s that proxies waited for a core, on average
+    faults: list[tuple[float, float, str]] = field(default_factory=list)
--- /dev/null
+++ b/calicofall/stage/referee.py
@@ -0,0 +1,326 @@
+"""The referee: the four rules and the stated bounds, from what caches, service and clients saw.
+
+Owns the verdict. Must never ask a proxy, share code with what it judges, pass a run on a machine too busy to
+tell, or take a quiet run for a good one: it says how much it has judged.
+"""
+
+from bisect import bisect_right
+from collections import Counter, defaultdict
+from collections.abc import Iterable
+from typing import Any, NamedTuple
+
+from calicofall.stage.drill import Drill
+from calicofall.stage.records import Records, Send
+
+SLACK = 0.05  # s, as the protocol page has it on sockets
+GRACE = 0.25  # s after a proxy was told that a cache drains or is gone
+WINDOW = 5.0  # s in which a deduped write may run again, by its group's caches
+CROSS = 0.03  # s by which two connections of one proxy may be seen in the wrong order
+LAG = 0.75  # s that the stage itself may be late; over it nothing can be told
+WAITED = 0.5  # of their time that proxies may have waited for a core
+STALE = 6.0  # s after which what the service has to tell is held against a proxy, heard or not
+EDGE = 0.1  # of a bound a second: where the stage's own lateness may have put two seconds into one
+
+
+class Finding(NamedTuple):
+    rule: str
+    proxy: str
+    at: float  # s since the beginning
+    what: str
+
+
+class Verdict(NamedTuple):
+    passed: bool
+    void: str  # why nothing can be told; empty: it can
+    findings: list[Finding]
+    figures: dict[str, Any]
+
+    @property
+    def word(self) -> str:
+        return "void" if self.void else "passed" if self.passed else "broken"
+
+
+def crowded(times: Iterable[float], span: float = 1.0) -> tuple[int, float]:
+    """The most in any span, and when it began."""
+    held: list[float] = []
+    most, when, first = 0, 0.0, 0
+    for at in sorted(times):
+        held.append(at)
+        while held[first] <= at - span:
+            first += 1
+        if len(held) - first > most:
+            most, when = len(held) - first, held[first]
+    return most, when
+
+
+def held(begins: list[float], ends: list[float]) -> tuple[int, float]:
+    """The most at one time, and when."""
+    steps = sorted([(at, 1) for at in begins] + [(at, -1) for at in ends])
+    most, count, when = 0, 0, 0.0
+    for at, step in steps:
+        count += step
+        if count > most:
+            most, when = count, at
+    return most, when
+
+
+class Referee:
+    def __init__(self, drill: Drill, records: Records) -> None:
+        self.drill, self.records = drill, records
+        self.findings: list[Finding] = []
+        self.figures: dict[str, Any] = {}
+        self.lag = max([lag for _, lag in records.lags], default=0.0)
+        # By proxy: spans in which it could not act, for it was dead or stopped.
+        self.away: dict[str, list[tuple[float, float]]] = defaultdict(list)
+        since: dict[str, float] = {}
+        for life in sorted(records.lives):
+            if life.what in ("killed", "stopped", "termed", "exited"):
+                since.setdefault(life.proxy, life.at)
+            elif life.what in ("woken", "launched") and life.proxy in since:
+                self.away[life.proxy].append((since.pop(life.proxy), life.at))
+        for proxy, at in since.items():
+            self.away[proxy].append((at, float("inf")))
+
+    def say(self, rule: str, proxy: str, at: float, what: str) -> None:
+        self.findings.append(Finding(rule, proxy, round(at - self.records.began, 3), what))
+
+    def gone(self, proxy: str, begin: float, end: float) -> bool:
+        return any(begin <= back and away <= end for away, back in self.away[proxy])
+
+    def judge(self) -> Verdict:
+        for part in (self.one_answer, self.effects, self.drains, self.cold, self.service, self.shares,
+                     self.served, self.crashes):
+            part()
+        self.figures |= {"lag_s": round(self.lag, 3), "waited_for_core": round(self.records.waits, 3),
+                         "faults": [what for *_, what in self.records.faults],
+                         "sends": len(self.records.sends), "answers": len(self.records.answers)}
+        void = ""
+        if self.lag > LAG:
+            void = f"the stage was late by {self.lag:.2f} s"
+        elif self.records.waits > WAITED:
+            void = f"proxies waited {self.records.waits:.0%} of their time for a core"
+        elif not self.records.answers and not self.drill.must.served:
+            void = "no answer was judged"
+        return Verdict(not self.findings and not void, void, sorted(self.findings, key=lambda f: f.at),
+                       self.figures)
+
+    # The four rules
+
+    def one_answer(self) -> None:
+        answers: dict[str, list] = defaultdict(list)
+        slack = SLACK + self.lag
+        for answer in self.records.answers:
+            if answer.id:
+                answers[answer.id].append(answer)
+            else:
+                self.say("one answer", answer.proxy, answer.at, "an answer where none was owed")
+        until, judged, exempt = {}, 0, 0
+        sent = {send.id for send in self.records.sends}
+        for attempt in self.records.tries:
+            until[attempt.id] = attempt.at + attempt.hard
+            got = answers.get(attempt.id, [])
+            last = got[0].at if got else attempt.at + attempt.hard + SLACK
+            if self.gone(attempt.proxy, attempt.at - SLACK, last):
+                exempt += 1
+                continue
+            if attempt.at + attempt.hard + slack > self.records.ended:
+                continue
+            judged += 1
+            if not got or got[0].kind == "none":
+                self.say("one answer", attempt.proxy, attempt.at, f"{attempt.id}: no answer")
+            elif got[0].kind == "closed" or (got[0].kind == "crossed" and attempt.id in sent):
+                self.say("one answer", attempt.proxy, got[0].at, f"{attempt.id}: closed without an answer")
+            elif got[0].kind == "another's":
+                self.say("one answer", attempt.proxy, got[0].at, f"{attempt.id}: a value made for another")
+            elif got[0].at > until[attempt.id] + slack:
+                self.say("one answer", attempt.proxy, got[0].at, f"{attempt.id}: answered late")
+            if len(got) > 1:
+                self.say("one answer", attempt.proxy, got[1].at, f"{attempt.id}: answered twice")
+        for send in self.records.sends:
+            if send.id not in until:
+                self.say("one answer", send.proxy, send.at, f"{send.id}: sent, though no client asked")
+            elif send.at > until[send.id] + slack and not self.gone(send.proxy, until[send.id], send.at):
+                self.say("one answer", send.proxy, send.at, f"{send.id}: sent after its time")
+        self.figures |= {"tries_judged": judged, "tries_exempt": exempt}
+
+    def effects(self) -> None:
+        runs: dict[str, list] = defaultdict(list)
+        marks: dict[str, list] = defaultdict(list)
+        for run in self.records.runs:
+            runs[run.id].append(run)
+            if run.mark:
+                marks[run.mark].append(run)
+        sends: dict[str, list[tuple[Send, float]]] = defaultdict(list)
+        for place, send in enumerate(self.records.sends):
+            sends[send.id].append((send, self.records.outs.get(place, self.records.ended)))
+        proxy = {send.id: send.proxy for send in self.records.sends}
+        for name, ran in runs.items():
+            if ran[0].method == "order" and len(ran) > 1:
+                self.say("effects", proxy[name], ran[1].at, f"{name}: non-retriable, ran {len(ran)} times")
+        for mark, ran in marks.items():
+            if max(run.at for run in ran) - min(run.at for run in ran) > WINDOW + SLACK + self.lag:
+                self.say("effects", proxy[ran[0].id], ran[-1].at, f"{mark}: ran again after its window")
+        for answer in self.records.answers:
+            ran = runs.get(answer.id)
+            if ran and answer.kind == "exhausted" and ran[0].method == "order":
+                self.say("effects", answer.proxy, answer.at, f"{answer.id}: exhausted, though it ran")
+        for name, out in sends.items():
+            for (_, before), (send, _) in zip(out, out[1:], strict=False):
+                if send.at < before - CROSS - self.lag:
+                    self.say("effects", send.proxy, send.at, f"{name}: two out at once")
+        self.figures["most_sends"] = max([len(out) for out in sends.values()], default=0)
+
+    def drains(self) -> None:
+        """Nothing new to a cache past the grace after its proxy was told that it drains or is gone."""
+        states: dict[str, dict[str, tuple[float, bool]]] = defaultdict(dict)
+        steps: list[tuple[float, int, Any]] = [(told.at, 0, told) for told in self.records.told]
+        steps += [(send.at, 1, send) for send in self.records.sends]
+        steps += [(life.at, -1, life) for life in self.records.lives if life.what == "launched"]
+        latest = 0.0
+        for at, kind, what in sorted(steps, key=lambda step: step[:2]):
+            known = states[what.proxy]
+            if kind == -1:
+                known.clear()
+            elif kind == 0:
+                if what.whole:
+                    listed = {name for name, _ in what.entries}
+                    for name in known.keys() - listed:
+                        known[name] = (known[name][0], True) if known[name][1] else (at, True)
+                for name, state in what.entries:
+                    off = state != "SERVING"
+                    if name not in known or known[name][1] != off:
+                        known[name] = at, off
+            elif what.cache not in known:
+                if known and not self.drill.fleet.snapshot:
+                    self.say("drains", what.proxy, at, f"sent to {what.cache}, which no list has named")
+            elif known[what.cache][1]:
+                over = at - known[what.cache][0]
+                latest = max(latest, over)
+                if over > GRACE + SLACK + self.lag and not self.gone(what.proxy, known[what.cache][0], at):
+                    self.say("drains", what.proxy, at, f"sent to {what.cache} {over:.2f} s after its drain")
+        self.figures["latest_after_drain_s"] = round(latest, 3)
+
+    def cold(self) -> None:
+        """Cold caches are not pushed over by all proxies together: from sends, by the stated capacity."""
+        cache = self.drill.cache
+        sends: dict[str, list[float]] = defaultdict(list)
+        for send in self.records.sends:
+            sends[send.cache].append(send.at)
+        top, worst = 0.0, ("", 0.0)
+        for name, starts in self.records.cold.items():
+            for start in starts:
+                times = sorted(at for at in sends[name] if start <= at <= start + cache.cold_s)
+                for number, at in enumerate(times):
+                    first = bisect_right(times, at - cache.fall_s)
+                    share = cache.cold_share + (1 - cache.cold_share) * (at - start) / cache.cold_s
+                    bears = cache.fall_multiple * cache.slots / (cache.hit_ms / 1000.0) * share * cache.fall_s
+                    if (number + 1 - first) / bears > top:
+                        top, worst = (number + 1 - first) / bears, (name, at)
+        if top > 1.0:
+            self.say("cold caches", worst[0], worst[1], f"{worst[0]} was sent {top:.2f} of what it bears")
+        for at, name in self.records.falls:
+            self.say("cold caches", name, at, f"{name} fell over")
+        self.figures["cold_pushed"] = round(top, 3)
+
+    # The bounds
+
+    def service(self) -> None:
+        must, fleet = self.drill.must, self.drill.fleet
+        asks = [ask.at for ask in self.records.asked if ask.what == "asked"]
+        peak, when = crowded(asks)
+        launches = [life.at for life in self.records.lives if life.what == "launched"]
+        heard: dict[str, float] = {}
+        for told in self.records.told:
+            heard.setdefault(told.proxy, told.at)
+        begins, room = self.records.began, self.drill.service.room
+        last = max(heard.values(), default=begins)
+        self.figures |= {
+            "asked": len(asks), "asked_peak": peak, "asked_peak_at_s": round(when - begins, 2),
+            "refused": sum(ask.what == "refused" for ask in self.records.asked),
+            "launched_s": round(max(launches, default=begins) - begins, 2),
+            "listed": len(heard), "listed_last_s": round(last - begins, 2)}
+        if must.asks_per_room is not None and peak > must.asks_per_room * room + 1 + EDGE * room:
+            self.say("asks", "all", when, f"{peak} asked in a second, of a room of {room:g}")
+        if must.list_factor is not None:
+            bound = max([*launches[:fleet.proxies], begins]) + must.list_factor * fleet.proxies / room + 1.0
+            late = [p for p in (f"p{i}" for i in range(fleet.proxies)) if heard.get(p, float("inf")) > bound]
+            for proxy in late:
+                told = f"{heard[proxy] - begins:.1f} s" if proxy in heard else "never"
+                self.say("list", proxy, bound, f"heard its list {told}, bound {bound - begins:.1f} s")
+        doors: dict[str, float] = {}
+        for at, proxy in self.records.pongs:
+            doors.setdefault(proxy, at)
+            if must.list_before_door and not fleet.snapshot and heard.get(proxy, float("inf")) > at + CROSS:
+                self.say("door", proxy, at, "said yes before it was told a list")
+        times = sorted(at - begins for at in doors.values())
+        for name, part in (("half", 0.5), ("95", 0.95), ("all", 1.0)):
+            place = max(0, round(part * fleet.proxies) - 1)
+            self.figures[f"serves_{name}_s"] = round(times[place], 2) if place < len(times) else None
+        if must.serves_all_s is not None:
+            for proxy in (f"p{i}" for i in range(fleet.proxies)):
+                if doors.get(proxy, float("inf")) > begins + must.serves_all_s:
+                    self.say("door", proxy, begins + must.serves_all_s, "does not say yes yet")
+
+    def shares(self) -> None:
+        must = self.drill.must
+        begun: dict[str, list[float]] = defaultdict(list)
+        ended: dict[str, list[float]] = defaultdict(list)
+        for hand in self.records.hands:
+            (begun if hand.begun else ended)[hand.cache].append(hand.at)
+        peaks = {name: crowded(times) for name, times in begun.items()}
+        most = {name: held(times, ended[name]) for name, times in begun.items()}
+        name = max(peaks, key=lambda name: peaks[name][0], default=None)
+        self.figures["handshakes"] = sum(map(len, begun.values()))
+        self.figures["handshakes_peak"] = peaks[name][0] if name else 0
+        self.figures["connections_peak"] = max([count for count, _ in most.values()], default=0)
+        for cache, (count, at) in peaks.items():
+            if must.handshakes is not None and count > must.handshakes * (1 + EDGE + 2 * self.lag) + 1:
+                self.say("handshakes", "all", at, f"{count} in a second at {cache}, over {must.handshakes:g}")
+        for cache, (count, at) in most.items():
+            if must.connections is not None and count > must.connections:
+                self.say("connections", "all", at, f"{count} held at {cache}, over {must.connections}")
+        fetches = self.records.fetches
+        count, at = held([begin for begin, _ in fetches], [end for _, end in fetches])
+        self.figures |= {"fetches": len(fetches), "fetches_at_once": count}
+        if must.fetches is not None and count > must.fetches:
+            self.say("fetches", "all", at, f"{count} asked of the origin at one time, over {must.fetches}")
+
+    def served(self) -> None:
+        soft = self.drill.traffic.soft_ms / 1000.0
+        kinds = Counter(answer.kind for answer in self.records.answers)
+        intents = sorted(self.records.intents)
+        good = [i.done is not None and i.done <= i.at + soft for i in intents]
+        third = good[-(len(good) // 3):] if len(good) > 2 else good
+        self.figures |= {"rpcs": len(intents), "in_time": round(sum(good) / len(good), 4) if good else None,
+                         "in_time_last_third": round(sum(third) / len(third), 4) if third else None,
+                         "tries_by_answer": dict(sorted(kinds.items()))}
+        self.figures["steady_s"] = self.steady(intents, good)
+        least = self.drill.must.served
+        if least is not None and (not third or sum(third) / len(third) < least):
+            part = sum(third) / len(third) if third else 0.0
+            self.say("served", "all", self.records.ended, f"{part:.3f} in time at the end, under {least:g}")
+
+    def steady(self, intents: list, good: list[bool]) -> float | None:
+        """From when on 95% of RPCs are completed in time, in every second till the end."""
+        seconds: dict[int, list[bool]] = defaultdict(list)
+        for intent, fine in zip(intents, good, strict=True):
+            seconds[int(intent.at - self.records.began)].append(fine)
+        since = None
+        for second in sorted(seconds):
+            fine = sum(seconds[second]) >= 0.95 * len(seconds[second])
+            since = (second if since is None else since) if fine else None
+        return since
+
+    def crashes(self) -> None:
+        ordered: dict[str, str] = {}
+        for life in sorted(self.records.lives, key=lambda life: life.at):
+            if life.what == "exited" and ordered.get(life.proxy) not in ("killed", "termed"):
+                self.say("crash", life.proxy, life.at, f"ended by itself with {life.code}")
+            elif life.what == "exited" and ordered.get(life.proxy) == "termed" and life.code != 0:
+                self.say("crash", life.proxy, life.at, f"ended with {life.code} after SIGTERM")
+            if life.what in ("launched", "killed", "termed"):
+                ordered[life.proxy] = life.what
+
+
+def judge(drill: Drill, records: Records) -> Verdict:
+    return Referee(drill, records).judge()
--- /dev/null
+++ b/calicofall/stage/wires.py
@@ -0,0 +1,393 @@
+"""Sockets of the stand-ins, each behind the link that the stage holds.
+
+Owns a connection's bytes on their way through the link. Must never decide what a stand-in does, or lose bytes
+that a cut holds back: silence ends with what was held.
+"""
+
+import asyncio
+import socket
+import struct
+from collections import deque
+from collections.abc import Callable
+from contextlib import suppress
+from typing import Any, Protocol
+
+import orjson
+
+from calicofall.net import resp
+from calicofall.net.buffer import RingBuffer
+from calicofall.stage.links import WHOLE, Link, Links
+from calicofall.stage.models import Cache, Service
+from calicofall.stage.records import Asked, Hand, Records, Run, Send, Told
+
+LOOPBACK = b"lo\0"
+IP_PKTINFO = 8
+BEAT = 2.0  # s between two empty lines of a watch
+
+
+def address(number: int) -> str:
+    """The loopback address under which proxy `number` sees the others: the stage tells by it who calls."""
+    return f"127.{64 + number // 62_500}.{number // 250 % 250}.{number % 250 + 1}"
+
+
+def number_of(host: str) -> int | None:
+    first, second, third, fourth = map(int, host.split("."))
+    return (second - 64) * 62_500 + third * 250 + fourth - 1 if first == 127 and second >= 64 else None
+
+
+def listener(kind: int) -> socket.socket:
+    """A socket on all loopback addresses and no others."""
+    plug = socket.socket(socket.AF_INET, kind)
+    plug.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    with suppress(OSError):  # elsewhere who calls from outside is cut, as the number of an address tells
+        plug.setsockopt(socket.SOL_SOCKET, socket.SO_BINDTODEVICE, LOOPBACK)
+    plug.bind(("0.0.0.0", 0))
+    if kind == socket.SOCK_STREAM:
+        plug.listen(1024)
+    plug.setblocking(False)
+    return plug
+
+
+class Stage(Protocol):
+    """What wires need of the stage."""
+
+    loop: asyncio.AbstractEventLoop
+    links: Links
+    records: Records
+    wires: set["Wire"]
+
+
+class Way:
+    """One direction of a connection: what waits for the link, in order."""
+
+    def __init__(self, wire: "Wire", hand: Callable[[float, bytes, Any], None], back: bool) -> None:
+        self.wire, self.hand, self.back = wire, hand, back
+        self.held: deque[tuple[float, bytes, Any]] = deque()
+        self.free, self.timer = 0.0, None
+
+    def take(self, at: float, data: bytes, note: Any = None) -> None:
+        link = self.wire.link()
+        if link is WHOLE and not self.held:
+            self.hand(at, data, note)
+        else:
+            self.held.append((at, data, note))
+            self.pump()
+
+    def due(self, link: Link) -> float:
+        at, data, _ = self.held[0]
+        return max(at + link.delay, self.free) + (len(data) / link.rate if link.rate else 0.0)
+
+    def pump(self) -> None:
+        loop = self.wire.stage.loop
+        if self.timer is not None:
+            self.timer.cancel()
+            self.timer = None
+        while self.held and not self.wire.over:
+            link = self.wire.link()
+            if link.cut_back if self.back else link.cut_to:
+                return
+            due = self.due(link)
+            if due > loop.time():
+                self.timer = loop.call_at(due, self.pump)
+                return
+            self.free = due
+            self.hand(*self.held.popleft())
+
+
+class Wire(asyncio.Protocol):
+    """A connection that a proxy has opened to a stand-in."""
+
+    def __init__(self, stage: Stage, other: str) -> None:
+        self.stage, self.other, self.proxy, self.over = stage, other, "", False
+        self.inward, self.outward = Way(self, self.took, False), Way(self, self.wrote, True)
+        self.transport: Any = None
+
+    def link(self) -> Link:
+        return self.stage.links.of(self.proxy, self.other)
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = transport
+        number = number_of(transport.get_extra_info("sockname")[0])
+        if number is None:
+            transport.abort()
+            return
+        self.proxy = f"p{number}"
+        if self.link().reset:
+            transport.abort()
+            return
+        self.stage.wires.add(self)
+        self.made()
+
+    def data_received(self, data: bytes) -> None:
+        self.inward.take(self.stage.loop.time(), data)
+
+    def say(self, data: bytes, note: Any = None) -> None:
+        self.outward.take(self.stage.loop.time(), data, note)
+
+    def wrote(self, _at: float, data: bytes, note: Any) -> None:
+        if not self.over and not self.transport.is_closing():
+            self.transport.write(data)
+            if note is not None:
+                self.departed(note)
+
+    def connection_lost(self, _reason: Exception | None) -> None:
+        if not self.over:
+            self.over = True
+            self.stage.wires.discard(self)
+            self.lost()
+
+    def cut(self) -> None:
+        if self.transport is not None:
+            self.transport.abort()
+
+    def changed(self) -> None:
+        """The faults in force are others."""
+        if self.link().reset:
+            self.cut()
+        else:
+            self.inward.pump()
+            self.outward.pump()
+
+    def made(self) -> None:
+        """The connection is up."""
+
+    def took(self, at: float, data: bytes, _note: Any) -> None:
+        """Bytes that left the proxy at a time have come."""
+
+    def departed(self, note: Any) -> None:
+        """Bytes that were noted are handed to the system."""
+
+    def lost(self) -> None:
+        """The connection is over."""
+
+
+class CacheStand:
+    """A cache on its socket."""
+
+    def __init__(self, stage: Stage, name: str, model: Cache, sizes: Callable[[str], int]) -> None:
+        self.stage, self.name, self.model, self.sizes = stage, name, model, sizes
+        self.plug = listener(socket.SOCK_STREAM)
+        self.port = self.plug.getsockname()[1]
+
+    async def open(self) -> None:
+        await self.stage.loop.create_server(lambda: CacheWire(self.stage, self), sock=self.plug)
+
+
+class CacheWire(Wire):
+    def __init__(self, stage: Stage, stand: CacheStand) -> None:
+        super().__init__(stage, stand.name)
+        self.stand, self.ring, self.up_at = stand, RingBuffer(), None
+        self.parser = resp.Parser(self.ring)
+        self.outs: dict[int, bytes | None] = {}  # places of sends that are out, in order; their replies
+
+    def made(self) -> None:
+        now = self.stage.loop.time()
+        self.up_at = self.stand.model.handshake(now)
+        if self.up_at is None:
+            self.cut()
+        else:
+            self.stage.records.hands.append(Hand(now, self.proxy, self.other, True))
+
+    def took(self, at: float, data: bytes, _note: Any) -> None:
+        self.ring.write(data)
+        try:
+            while not self.over and (command := self.parser.next()) is not resp.COMING:
+                self.command(at, command)
+        except (resp.Broken, KeyError, ValueError, IndexError, TypeError):
+            self.cut()
+
+    def command(self, at: float, parts: list[bytes]) -> None:
+        now, records = self.stage.loop.time(), self.stage.records
+        pairs = dict(pair.split(b"=", 1) for pair in parts[3].split(b","))
+        name, method, mark = parts[2].decode(), pairs[b"c"].decode(), pairs.get(b"k", b"").decode()
+        place, write = len(records.sends), parts[0] == b"C.SET"
+        records.sends.append(Send(at, self.proxy, self.other, name, method, mark, float(pairs[b"d"])))
+        self.outs[place] = None
+        begins = max(now, self.up_at)
+        answer = self.stand.model.command(begins, parts[1].decode(), write)
+        if not answer.ran:
+            self.reply(place, b"-BUSY\r\n")
+            return
+        records.runs.append(Run(begins, self.other, name, method, mark))
+        value = b"of " + parts[2]
+        value += b"." * (0 if write else self.stand.sizes(parts[1].decode()) - len(value))
+        note = b"$%d\r\n%b\r\n" % (len(answer.note), answer.note.encode()) if answer.note else b"$-1\r\n"
+        data = b"*3\r\n$%d\r\n%b\r\n%b$-1\r\n" % (len(value), value, note)
+        self.stage.loop.call_at(answer.at, self.reply, place, data)
+
+    def reply(self, place: int, data: bytes) -> None:
+        """Replies go out in the order of the commands."""
+        if self.over:
+            return
+        self.outs[place] = data
+        for first, held in list(self.outs.items()):
+            if held is None:
+                return
+            if held:
+                self.outs[first] = b""  # on its way
+                self.say(held, first + 1)
+
+    def departed(self, note: int) -> None:
+        self.outs.pop(note - 1, None)
+        self.stage.records.outs[note - 1] = self.stage.loop.time()
+
+    def lost(self) -> None:
+        now = self.stage.loop.time()
+        for place in self.outs:
+            self.stage.records.outs[place] = now
+        if self.up_at is not None:
+            self.stand.model.ended()
+            self.stage.records.hands.append(Hand(now, self.proxy, self.other, False))
+
+
+class ServiceStand:
+    """The list service on its socket, under an address for each proxy."""
+
+    def __init__(self, stage: Stage, model: Service, ports: Callable[[], dict[str, int]]) -> None:
+        self.stage, self.model, self.ports = stage, model, ports
+        self.plug = listener(socket.SOCK_STREAM)
+        self.port = self.plug.getsockname()[1]
+        self.watches: set[ServiceWire] = set()
+        self.down = self.silent = False
+        self.beat()
+
+    async def open(self) -> None:
+        await self.stage.loop.create_server(lambda: ServiceWire(self.stage, self), sock=self.plug)
+
+    def beat(self) -> None:
+        """An empty line to every watch while nothing changes."""
+        if not self.silent:
+            for watch in self.watches:
+                watch.line(b"\n", None)
+        self.stage.loop.call_later(BEAT, self.beat)
+
+    def listing(self, proxy: str, message: dict) -> bytes:
+        host, ports = address(int(proxy[1:])), self.ports()
+        entries = [entry | {"address": f"{host}:{ports[entry['name']]}"} for entry in message["endpoints"]]
+        return orjson.dumps(message | {"endpoints": entries}) + b"\n"
+
+    def change(self, *entries: dict) -> None:
+        """What becomes of caches, told to all watches at once, or late."""
+        message = {"endpoints": list(entries), "snapshot": False}
+        for entry in entries:
+            message["index"] = self.model.put(entry)
+        self.stage.loop.call_later(self.model.late, self.tell, message)
+
+    def tell(self, message: dict) -> None:
+        for watch in list(self.watches):
+            watch.news(message)
+
+    def fall(self) -> None:
+        self.down = True
+        for wire in [wire for wire in self.stage.wires if wire.other == "list"]:
+            wire.cut()
+
+    def speak(self) -> None:
+        """Silence is over: who waits is heard."""
+        self.silent = False
+        for wire in [wire for wire in self.stage.wires if isinstance(wire, ServiceWire)]:
+            wire.heed()
+
+
+class ServiceWire(Wire):
+    def __init__(self, stage: Stage, stand: ServiceStand) -> None:
+        super().__init__(stage, "list")
+        self.stand, self.head, self.wants, self.begun = stand, b"", None, False
+        self.kept: list[dict] = []  # news while the service is silent
+
+    def made(self) -> None:
+        if self.stand.down:
+            self.cut()
+
+    def took(self, at: float, data: bytes, _note: Any) -> None:
+        self.head += data
+        if b"\r\n\r\n" in self.head and self.wants is None:
+            path = self.head.split(b" ")[1].decode()
+            since = path.partition("since=")[2].partition("&")[0]
+            self.wants = int(since) if since.isdigit() else -1
+            self.stage.records.asked.append(Asked(at, self.proxy, "asked"))
+            self.heed()
+
+    def heed(self) -> None:
+        if self.stand.silent or self.over or self.wants is None:
+            return
+        if self.begun:
+            for message in self.kept:
+                self.news(message)
+            self.kept.clear()
+            return
+        now = self.stage.loop.time()
+        begins = self.stand.model.ask(now)
+        if begins is None:
+            self.stage.records.asked.append(Asked(now, self.proxy, "refused"))
+            after = self.stand.model.after
+            said = b"Retry-After: %d\r\n" % after if after is not None else b""
+            self.say(b"HTTP/1.1 503 No Room\r\n%bContent-Length: 0\r\n\r\n" % said)
+            self.transport.close()
+        else:
+            self.begun = True
+            self.stage.loop.call_at(begins, self.begin)
+
+    def begin(self) -> None:
+        if self.over:
+            return
+        self.stage.records.asked.append(Asked(self.stage.loop.time(), self.proxy, "begun"))
+        self.say(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+        self.stand.watches.add(self)
+        self.news(self.stand.model.since(self.wants if self.wants >= 0 else None))
+
+    def news(self, message: dict) -> None:
+        if self.stand.silent:
+            self.kept.append(message)
+            return
+        told = tuple((entry["name"], entry["status"]) for entry in message["endpoints"])
+        self.line(self.stand.listing(self.proxy, message), (told, message["snapshot"]))
+
+    def line(self, data: bytes, note: Any) -> None:
+        self.say(b"%x\r\n%b\r\n" % (len(data), data), note)
+
+    def departed(self, note: tuple) -> None:
+        self.stage.records.told.append(Told(self.stage.loop.time(), self.proxy, *note))
+
+    def lost(self) -> None:
+        self.stand.watches.discard(self)
+        if self.begun:
+            self.stand.model.ended()
+
+
+class Relay:
+    """Datagrams between proxies: each sends to the stage, which hands them on over the pair's link."""
+
+    def __init__(self, stage: Stage, number: int, to: Callable[[int], tuple["Relay", int]]) -> None:
+        self.stage, self.number, self.to = stage, number, to
+        self.plug = listener(socket.SOCK_DGRAM)
+        self.plug.setsockopt(socket.IPPROTO_IP, IP_PKTINFO, 1)
+        self.port = self.plug.getsockname()[1]
+        stage.loop.add_reader(self.plug.fileno(), self.come)
+
+    def come(self) -> None:
+        for _ in range(32):
+            try:
+                data, notes, _, _ = self.plug.recvmsg(2048, 64)
+            except OSError:
+                return
+            for _, kind, info in notes:
+                peer = number_of(socket.inet_ntoa(info[8:12])) if kind == IP_PKTINFO else None
+                if peer is not None:
+                    self.pass_on(peer, data)
+
+    def pass_on(self, peer: int, data: bytes) -> None:
+        links = self.stage.links
+        link = links.of(f"p{self.number}", f"p{peer}")
+        if not links.lost(link):
+            self.stage.loop.call_later(link.delay, self.hand, peer, data)
+
+    def hand(self, peer: int, data: bytes) -> None:
+        relay, port = self.to(peer)
+        info = struct.pack("I4s4s", 0, socket.inet_aton(address(self.number)), bytes(4))
+        with suppress(OSError):
+            relay.plug.sendmsg([data], [(socket.IPPROTO_IP, IP_PKTINFO, info)], 0, ("127.0.0.1", port))
+
+    def close(self) -> None:
+        self.stage.loop.remove_reader(self.plug.fileno())
+        self.plug.close()
--- /dev/null
+++ b/calicofall/start/grid.py
@@ -0,0 +1,33 @@
+"""Turns on a common clock: at most so many a second over the whole fleet, without a word between proxies.
+
+Owns the slots of one proxy: one in each period of proxies / room seconds, laid side by side by the proxies'
+numbers. Must never give two numbers of one fleet the same slot, let a turn that was missed be made up for, or
+know what the turn is for.
+
+The bound: in any span of T seconds at most room * T + 1 turns fall due over the fleet, whatever the number of
+proxies, since two neighbours on the grid lie 1 / room apart. Clocks that differ by d seconds between proxies
+make that room * (T + 2 d) + 1. A clock that is set back in mid-way moves nothing: the phase is read once, and
+spans are counted on the monotonic clock from there.
+"""
+
+LATE = 0.5  # of the distance of two slots: a turn that falls due later than this has lapsed
+
+
+class Grid:
+    """Slots of number `me` (0 to `proxies` - 1), `room` a second over all; `wall` is the common clock (s) at
+    the moment that the proxy's own clock shows `now` (s). `turn` moves the order round, for a second use."""
+
+    def __init__(self, me: int, proxies: int, room: float, now: float, wall: float, turn: int = 0) -> None:
+        self.gap = 1.0 / room
+        self.period = max(1, proxies) * self.gap
+        self.phase = (me + turn) % max(1, proxies) * self.gap - wall % self.period + now
+
+    def next(self, now: float, part: float = 1.0) -> float:
+        """The first slot from now on (s). A `part` of the fleet in line shortens the period to that part."""
+        period = max(self.gap, self.period * min(1.0, part))
+        return self.phase + -((self.phase - now) // period) * period
+
+    def lapsed(self, slot: float, now: float) -> bool:
+        """Whether a slot is over, as for one that was stopped while it waited: a crowd that wakes together
+        must not ask together."""
+        return now > slot + max(LATE * self.gap, 0.05)
--- /dev/null
+++ b/calicofall/start/shares.py
@@ -0,0 +1,50 @@
+"""A proxy's part of what a cache bears: handshakes a second, connections held.
+
+Owns when a connection to a cache may be begun, and how many are kept. Must never let the parts of all proxies
+add up to more than the settings tell, or choose a cache.
+
+The bounds, over N proxies: at any cache at most H * T + 1 handshakes in any T seconds (the cache's own grid,
+start/grid.py; a turn not used lapses), and at most N * floor(C / N) <= C connections. What it costs: an RPC
+that needs a new connection waits N / H seconds at most, or goes on to the next of its caches.
+"""
+
+from math import inf
+
+from calicofall.start.grid import Grid
+
+HOLD = 0.5  # of what is left of the soft deadline, that an RPC waits for a connection's turn
+
+
+class Shares:
+    """`handshakes` a second and `connections` at a cache, for the whole fleet; None: not told."""
+
+    def __init__(self, me: int, proxies: int, handshakes: float | None, connections: int | None) -> None:
+        self.me, self.proxies, self.handshakes = me, max(1, proxies), handshakes
+        self.most = connections // self.proxies if connections is not None else None
+        self.grids: dict[str, tuple[Grid, float]] = {}  # by cache, with the slot that was used last
+
+    def begin(self, name: str, turn: int, now: float, wall: float) -> float:
+        """When the next connection to a cache may be begun (s), which takes that slot."""
+        if self.handshakes is None:
+            return now
+        grid, used = self.grids.get(name) or (
+            Grid(self.me, self.proxies, self.handshakes, now, wall, turn), -inf)
+        slot = grid.next(max(now, used + grid.period / 2))
+        self.grids[name] = grid, slot
+        return slot
+
+    def back(self, name: str, slot: float) -> None:
+        """A slot that was taken is not needed."""
+        if name in self.grids and self.grids[name][1] == slot:
+            self.grids[name] = self.grids[name][0], slot - self.grids[name][0].period
+
+    def lapsed(self, name: str, slot: float, now: float) -> bool:
+        return name in self.grids and self.grids[name][0].lapsed(slot, now)
+
+    def keep(self, names: set[str]) -> None:
+        self.grids = {name: grid for name, grid in self.grids.items() if name in names}
+
+    @staticmethod
+    def patience(left: float) -> float:
+        """How long an RPC waits for a turn (s), of what is left of its soft deadline."""
+        return max(0.0, left * HOLD)
--- a/calicofall/words.py
+++ b/calicofall/words.py
@@ -16,6 +16,9 @@
          "start_capacity": "cold_share", "domain": "data", "stats": "reports",
          "failure_domains_only": "zones_open", "removal_not_binding": "draining_alone"}
 STATES = {"SERVING": "ready", "DRAINING": "draining", "DELETED": "gone"}
+STARTS = {"watchesPerS": "watches", "handshakesPerS": "handshakes", "connections": "connections",
+          "fleet": "fleet", "speak": "speak", "peers": "peers", "snapshot": "snapshot",
+          "snapshotAgeS": "oldest"}
 REPORTS = ("inline", "on_probe", "off")
 NOTES = {b"hit": "hit", b"miss": "fetched", b"pending": "fetching"}
 ARGUMENTS = {b"C.GET": 4, b"C.SET": 5}  # of the commands that are RPCs, how many with their own name
@@ -132,6 +135,50 @@
         raise ValueError(f"no list: {fault!r}") from None
 
 
+def listed(index: int | None, entries: list[tuple], places: dict[str, tuple | None]) -> dict[str, Any]:
+    """A list as discovery would give it: what listing() reads."""
+    states = {ours: theirs for theirs, ours in STATES.items()}
+    return {"index": index, "snapshot": True, "endpoints": [
+        {"name": name, "zone": zone, "type": kind, "group": cell, "status": states[state], "weight": weight,
+         "since_ms": since} | ({"address": f"{at[0]}:{at[1]}"} if (at := places.get(name)) else {})
+        for name, zone, kind, cell, state, weight, since in entries]}
+
+
+def starts(node: dict) -> dict[str, Any]:
+    """What the operators' file says of starts, in our words and checked; empty where it says nothing.
+
+    `watches`, `handshakes`: a second over the fleet; `connections`: held at a cache by the fleet; `fleet`,
+    `speak`, `peers`: its name, our address and those of all by number; `snapshot`, `oldest`: a folder, s.
+    """
+    told, settings = node.get("start"), node.get("settings") or {}
+    if told is None:
+        return {}
+    _held("start", told, isinstance(told, dict), "an object")
+    unknown = sorted(set(told) - set(STARTS))
+    _held("start", unknown, not unknown, "one of " + ", ".join(STARTS))
+    proxies = settings.get("balancers") or 1
+    out = {ours: told[theirs] for theirs, ours in STARTS.items() if told.get(theirs) is not None}
+    for theirs in ("watchesPerS", "handshakesPerS", "snapshotAgeS"):
+        value = told.get(theirs)
+        number = isinstance(value, int | float) and not isinstance(value, bool)
+        _held(f"start.{theirs}", value, value is None or (number and 0 < value < inf), "a number over 0")
+    held = told.get("connections")
+    _held("start.connections", held, held is None or _whole(held, proxies, inf),
+          f"a whole number from {proxies}, one for each proxy,")
+    _held("start.snapshot", told.get("snapshot"), isinstance(told.get("snapshot") or "", str), "a folder")
+    out.setdefault("oldest", 30.0)
+    if "speak" in out or "peers" in out:
+        peers, name = out.get("peers"), out.get("fleet")
+        _held("start.fleet", name, isinstance(name, str) and 0 < len(name) <= 64, "the fleet's name")
+        _held("start.watchesPerS", told.get("watchesPerS"), "watches" in out, "told where proxies speak")
+        listed = isinstance(peers, list) and len(peers) == proxies and all(isinstance(p, str) for p in peers)
+        _held("start.peers", peers if not isinstance(peers, list) else f"{len(peers)} long", listed,
+              f"a list of {proxies} addresses, by the proxies' numbers,")
+        _held("start.speak", out.get("speak"), isinstance(out.get("speak"), str), "an address")
+        out["peers"], out["speak"] = [place(peer) for peer in peers], place(out["speak"])
+    return out
+
+
 def place(address: str) -> tuple[str, int]:
     """Host and port of an address."""
     host, colon, port = address.rpartition(":")
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -12,6 +12,7 @@
 from calicofall.net.buffer import LEAST, RingBuffer
 from calicofall.net.discovery import SILENT, Discovery
 from calicofall.net.proxy import HEARD, Proxy
+from calicofall.start.line import Line
 
 
 @pytest.mark.parametrize("seed", range(6))
@@ -140,8 +141,8 @@
 
 def watching() -> tuple[Loop, Discovery, list, Wire]:
     loop, told = Loop(), []
-    discovery = Discovery(loop, loop.open, "10.2.0.1:8500", 41, Random(1), lambda *news: told.append(news),
-                          lambda: told.append("failed"))
+    discovery = Discovery(loop, loop.open, "10.2.0.1:8500", 41, Line(Random(1)),
+                          lambda *news: told.append(news), lambda: told.append("failed"), lambda phase: None)
     discovery.start()
     return loop, discovery, told, Wire(loop.opened[0][0])
 
@@ -215,8 +216,8 @@
         if len(tries) > proxies:  # the service is overbooked from the first loss on
             loop.call_later(2.0, lambda: wire.open and wire.feed(b"HTTP/1.1 503 No\r\n\r\n"))
 
-    fleet = [Discovery(loop, open_, "10.2.0.1:8500", 41, Random(seed), lambda *news: None, lambda: None,
-                       proxies) for seed in range(proxies)]
+    fleet = [Discovery(loop, open_, "10.2.0.1:8500", 41, Line(Random(seed), proxies), lambda *news: None,
+                       lambda: None, lambda phase: None) for seed in range(proxies)]
     for discovery in fleet:
         discovery.start()
     for discovery in fleet:
@@ -235,8 +236,8 @@
 def test_no_news_is_missed_for_long_where_a_watch_breaks_off_or_is_refused() -> None:
     """With 200 proxies the pause after a broken watch reached 7.5 s; drains told meanwhile were not kept."""
     loop = Loop()
-    discovery = Discovery(loop, loop.open, "10.2.0.1:8500", 41, Random(1), lambda *news: None, lambda: None,
-                          200)
+    discovery = Discovery(loop, loop.open, "10.2.0.1:8500", 41, Line(Random(1), 200), lambda *news: None,
+                          lambda: None, lambda phase: None)
     discovery.start()
     for wait in (0.15, 0.25, 0.45, 0.6, 0.6):  # the agent does not answer: asked soon, then twice a second
         loop.opened[-1][0].cut()
