Tests of the cold start and of the stage; cold caches get what the operators' file says they bear

Seen on the stage, 16 proxies and 10 cold caches: half of all RPCs refused for ten seconds, since a fleet that is all new has no warm cache to learn from and sends each cold one three RPCs a second together (_cold_room, carried = 0). A cache set aside and not met for 85 minutes overflowed trickle(): bounded.

--- a/Makefile
+++ b/Makefile
@@ -6,9 +6,9 @@
 
 build: .venv/built
 
-.venv/built: requirements.txt
+.venv/built: requirements.txt requirements-stage.txt
 	test -x $(PYTHON) || python3 -m venv .venv
-	$(PYTHON) -m pip -q install -r requirements.txt
+	$(PYTHON) -m pip -q install -r requirements.txt -r requirements-stage.txt
 	touch .venv/built
 
 test: build
--- a/calicofall/net/proxy.py
+++ b/calicofall/net/proxy.py
@@ -79,9 +79,11 @@
         self.starts = words.starts(node)  # what the operators' file says of starts
         self.phases = Phases(loop.time())
         self.lease: Lease | None = None
-        self.router = Router(deployment, seed, self.now())
+        me, proxies = deployment.get("me") or 0, deployment.get("proxies") or 1
+        self.shares = Shares(me, proxies, self.starts.get("handshakes"), self.starts.get("connections"),
+                             self.starts.get("bears"), deployment["rules"].get("fall_multiple"))
+        self.router = Router(deployment | {"bears": self.shares.bears}, seed, self.now())
         self.patience = max([m["hard_deadline"] for m in self.methods.values()], default=3000.0) / 1000.0
-        proxies = deployment.get("proxies") or 1
         # Guards against many proxies that each hold connections to every cache, and together make their
         # handshakes at once after a start: a herd of fourteen opened 1,050, twice what it used.
         ahead = proxies <= FEW
@@ -89,8 +91,7 @@
             "current": lambda: len(self.calls), "cluster_size": lambda: len(self.caches.named),
             "cluster_unhealthy": lambda: self.router.avoided(self.now())})
         sockets, of_caches, room = self.budget(1)
-        me, wall = deployment.get("me") or 0, (loop.time() * 1000.0 + self.offset) / 1000.0
-        self.shares = Shares(me, proxies, self.starts.get("handshakes"), self.starts.get("connections"))
+        wall = self.now() / 1000.0
         self.caches = Caches(loop, deployment["caps"], of_caches, ahead, open, self.taker, self.bound,
                              self.outcome, self.figures, self.shares, wall - loop.time())
         self.clients = Clients(loop, sockets, room, self.patience, self.ask, self.left)
--- a/calicofall/policy.py
+++ b/calicofall/policy.py
@@ -119,7 +119,7 @@
         return self.sum * fade / (self.mass * fade + PRIOR)
 
     def trickle(self, now: float) -> float:  # the part of its RPCs that it is sent, which doubles in silence
-        return 1.0 if self.part >= 1.0 else self.part * 2.0 ** ((now - self.part_at) / DOUBLES)
+        return 1.0 if self.part >= 1.0 else self.part * 2.0 ** min(9.0, (now - self.part_at) / DOUBLES)
 
 
 class Policy:
@@ -166,7 +166,8 @@
         self.most_retries = max(1.0, 30.0 / self.proxies)
         self.retries = self.most_retries * self.chance.random()
         self.flow, self.sent, self.done = Ring(10_000.0, 20), Ring(SENT, 6), Ring(10_000.0, 20)  # done: warm
-        self.origin_floor, self.carried = 0.0, 0.0  # carried: by warm caches, per ms and unit of weight, here
+        # Carried by warm caches, per ms and unit of weight, here; our part of what one bears, where told.
+        self.origin_floor, self.carried, self.bears = 0.0, 0.0, deployment.get("bears") or 0.0
         self.holders: list[set[tuple]] = [set(), set()]  # (key, cache) seen to be held; newer, older
         self.turn_at, self.keys_at = now + HOLDS, now + KEYS
         # Share of fetches, of keys not seen to be held: at warm caches, at cold ones
@@ -421,8 +422,7 @@
         return cache.sent.count(now) > even * self.swift.get(cache.kind, 1.0)
 
     def _allowed(self, now: float, rpc: Rpc, cache: Cache) -> bool:
-        first = rpc.first_run()
-        method = self.methods[rpc.method]
+        first, method = rpc.first_run(), self.methods[rpc.method]
         if first is not None and method["repeats"] == "deduped":
             home, group = self.caches.get(first.cache), method.get("group")
             if group != "all" and (home is None or (group == "zone" and home.zone != cache.zone) or
@@ -436,7 +436,7 @@
         share = self.rules.get("cold_share") or 0.1
         age = max(0.0, now - cache.started) / (self.rules.get("cold") or FADE)
         part = (share + (1 - share) * min(1.0, age)) * (self.rules.get("fall_multiple") or 1.0)
-        rate = max(self.carried * cache.weight, 1.5 / self.soonest / self.proxies)
+        rate = max(max(self.carried, self.bears) * cache.weight, 1.5 / self.soonest / self.proxies)
         seen = max(500.0, min(10_000.0, now - self.born))
         wished = (self.flow.count(now) + 1) / seen * self.weights.get(cache.name, 0.0) / self.total
         # Guards against a hot key that finds a cold owner: each proxy sends it seldom, all of them often.
--- a/calicofall/stage/__main__.py
+++ b/calicofall/stage/__main__.py
@@ -16,6 +16,15 @@
     exit_code = WRONG
 
 
+def parts() -> tuple:
+    """What the stage needs beside the program: an extra that a proxy does without."""
+    try:
+        from calicofall.stage import drill, play, report
+    except ImportError as missing:
+        raise Stop(f"{missing.name} is missing: pip install 'calicofall[stage]'") from None
+    return drill, report, play.play
+
+
 @click.group()
 def stage() -> None:
     """Many processes of the program with faults between them, and a referee."""
@@ -24,8 +33,7 @@
 @stage.command(name="list")
 def listed() -> None:
     """The drills that ship."""
-    from calicofall.stage import drill
-
+    drill, _, _ = parts()
     for name in drill.ready():
         click.echo(f"{name:24} {drill.load(name).about}")
 
@@ -42,9 +50,7 @@
 def run(file: str, proxies: int | None, seed: int | None, out: str | None, program: str | None, untold: bool,
         quiet: bool) -> None:
     """Play a drill from FILE, or a ready one by its name. Exit: 0 passed, 1 broken, 2 wrong drill, 3 void."""
-    from calicofall.stage import drill, report
-    from calicofall.stage.play import play
-
+    drill, report, play = parts()
     try:
         plan = drill.load(file)
         data = plan.model_dump(exclude_none=True)
@@ -74,8 +80,7 @@
 @click.option("--chart", type=click.Path(dir_okay=False), help="A picture of what was seen by second.")
 def shown(results: tuple[str, ...], chart: str | None) -> None:
     """Results side by side, from files or folders."""
-    from calicofall.stage import report
-
+    _, report, _ = parts()
     try:
         found = report.load(list(results))
     except ValueError as wrong:
--- a/calicofall/stage/play.py
+++ b/calicofall/stage/play.py
@@ -159,7 +159,8 @@
                       "drainGraceNs": 250_000_000, "askEveryNs": 10_000_000_000, "answerSlackNs": 20_000_000}}
         start: dict[str, Any] = {}
         if fleet.told:
-            start = {"watchesPerS": drill.service.room, "connections": cache.connections}
+            start = {"watchesPerS": drill.service.room, "connections": cache.connections,
+                     "cachePerS": cache.slots / cache.hit_ms * 1000.0}
             if cache.handshakes is not None:
                 start["handshakesPerS"] = cache.handshakes
         if fleet.speak:
--- a/calicofall/stage/referee.py
+++ b/calicofall/stage/referee.py
@@ -228,21 +228,30 @@
         must, fleet = self.drill.must, self.drill.fleet
         asks = [ask.at for ask in self.records.asked if ask.what == "asked"]
         peak, when = crowded(asks)
-        launches = [life.at for life in self.records.lives if life.what == "launched"]
+        lives: dict[str, list[float]] = defaultdict(list)
+        for life in self.records.lives:
+            if life.what == "launched":
+                lives[life.proxy].append(life.at)
+        launches = sorted(at for times in lives.values() for at in times)
         heard: dict[str, float] = {}
+        lists: dict[tuple[str, int], float] = {}  # by proxy and life, when it was first told a list
         for told in self.records.told:
             heard.setdefault(told.proxy, told.at)
+            lists.setdefault((told.proxy, bisect_right(lives[told.proxy], told.at)), told.at)
+        waits = sorted(at - lives[proxy][life - 1] for (proxy, life), at in lists.items() if life)
         begins, room = self.records.began, self.drill.service.room
         last = max(heard.values(), default=begins)
         self.figures |= {
             "asked": len(asks), "asked_peak": peak, "asked_peak_at_s": round(when - begins, 2),
             "refused": sum(ask.what == "refused" for ask in self.records.asked),
             "launched_s": round(max(launches, default=begins) - begins, 2),
-            "listed": len(heard), "listed_last_s": round(last - begins, 2)}
+            "listed": len(heard), "listed_last_s": round(last - begins, 2), "lives": len(launches),
+            "list_after_launch_s": [round(waits[int(part * (len(waits) - 1))], 2) for part in (0.5, 0.95, 1)]
+            if waits else None}
         if must.asks_per_room is not None and peak > must.asks_per_room * room + 1 + EDGE * room:
             self.say("asks", "all", when, f"{peak} asked in a second, of a room of {room:g}")
         if must.list_factor is not None:
-            bound = max([*launches[:fleet.proxies], begins]) + must.list_factor * fleet.proxies / room + 1.0
+            bound = max([begins, *launches[:fleet.proxies]]) + must.list_factor * fleet.proxies / room + 1.0
             late = [p for p in (f"p{i}" for i in range(fleet.proxies)) if heard.get(p, float("inf")) > bound]
             for proxy in late:
                 told = f"{heard[proxy] - begins:.1f} s" if proxy in heard else "never"
@@ -250,7 +259,8 @@
         doors: dict[str, float] = {}
         for at, proxy in self.records.pongs:
             doors.setdefault(proxy, at)
-            if must.list_before_door and not fleet.snapshot and heard.get(proxy, float("inf")) > at + CROSS:
+            life = proxy, bisect_right(lives[proxy], at)
+            if must.list_before_door and not fleet.snapshot and lists.get(life, float("inf")) > at + CROSS:
                 self.say("door", proxy, at, "said yes before it was told a list")
         times = sorted(at - begins for at in doors.values())
         for name, part in (("half", 0.5), ("95", 0.95), ("all", 1.0)):
--- a/calicofall/start/shares.py
+++ b/calicofall/start/shares.py
@@ -1,4 +1,5 @@
-"""A proxy's part of what a cache bears: handshakes a second, connections held.
+"""A proxy's part of what a cache bears: handshakes a second, connections held, RPCs
+while it is cold.
 
 Owns when a connection to a cache may be begun, and how many are kept. Must never let the parts of all proxies
 add up to more than the settings tell, or choose a cache.
@@ -6,6 +7,9 @@
 The bounds, over N proxies: at any cache at most H * T + 1 handshakes in any T seconds (the cache's own grid,
 start/grid.py; a turn not used lapses), and at most N * floor(C / N) <= C connections. What it costs: an RPC
 that needs a new connection waits N / H seconds at most, or goes on to the next of its caches.
+
+A cold cache is sent, by all proxies together and on average, at most what it can do at that age (its capacity
+times the share that the rules tell): a fall_multiple of that is what the rule allows.
 """
 
 from math import inf
@@ -16,11 +20,18 @@
 
 
 class Shares:
-    """`handshakes` a second and `connections` at a cache, for the whole fleet; None: not told."""
+    """`handshakes` a second and `connections` at a cache, for the whole fleet; `bears`: RPCs that a warm
+    cache of weight 1 does a second; `fall`: times what it can do, at which a cold one falls. None: not told.
+    """
 
-    def __init__(self, me: int, proxies: int, handshakes: float | None, connections: int | None) -> None:
+    def __init__(self, me: int, proxies: int, handshakes: float | None = None, connections: int | None = None,
+                 bears: float | None = None, fall: float | None = None) -> None:
         self.me, self.proxies, self.handshakes = me, max(1, proxies), handshakes
         self.most = connections // self.proxies if connections is not None else None
+        # RPCs a ms and unit of weight, for the module, which lets a cold cache have `fall` times its share of
+        # them. Guards against a fleet that is all new: without a figure it sends each cold cache three RPCs a
+        # second together, whatever it could do.
+        self.bears = (bears or 0.0) / 1000.0 / self.proxies / (fall or 1.0)
         self.grids: dict[str, tuple[Grid, float]] = {}  # by cache, with the slot that was used last
 
     def begin(self, name: str, turn: int, now: float, wall: float) -> float:
--- a/calicofall/words.py
+++ b/calicofall/words.py
@@ -17,6 +17,7 @@
          "failure_domains_only": "zones_open", "removal_not_binding": "draining_alone"}
 STATES = {"SERVING": "ready", "DRAINING": "draining", "DELETED": "gone"}
 STARTS = {"watchesPerS": "watches", "handshakesPerS": "handshakes", "connections": "connections",
+          "cachePerS": "bears",
           "fleet": "fleet", "speak": "speak", "peers": "peers", "snapshot": "snapshot",
           "snapshotAgeS": "oldest"}
 REPORTS = ("inline", "on_probe", "off")
@@ -147,7 +148,8 @@
 def starts(node: dict) -> dict[str, Any]:
     """What the operators' file says of starts, in our words and checked; empty where it says nothing.
 
-    `watches`, `handshakes`: a second over the fleet; `connections`: held at a cache by the fleet; `fleet`,
+    `watches`, `handshakes`: a second over the fleet; `connections`: held at a cache by the fleet; `bears`:
+    RPCs that a warm cache of weight 1 does a second; `fleet`,
     `speak`, `peers`: its name, our address and those of all by number; `snapshot`, `oldest`: a folder, s.
     """
     told, settings = node.get("start"), node.get("settings") or {}
@@ -158,7 +160,7 @@
     _held("start", unknown, not unknown, "one of " + ", ".join(STARTS))
     proxies = settings.get("balancers") or 1
     out = {ours: told[theirs] for theirs, ours in STARTS.items() if told.get(theirs) is not None}
-    for theirs in ("watchesPerS", "handshakesPerS", "snapshotAgeS"):
+    for theirs in ("watchesPerS", "handshakesPerS", "cachePerS", "snapshotAgeS"):
         value = told.get(theirs)
         number = isinstance(value, int | float) and not isinstance(value, bool)
         _held(f"start.{theirs}", value, value is None or (number and 0 < value < inf), "a number over 0")
--- /dev/null
+++ b/tests/rogues.py
@@ -0,0 +1,102 @@
+"""Proxies that are broken on purpose, each in one way, for the stage's referee to find. Not in the package.
+
+Run as `python tests/rogues.py NAME serve`, in place of `python -m calicofall serve`.
+"""
+
+import sys
+
+from calicofall.net import caches, clients, discovery, proxy
+from calicofall.start import grid, line, shares
+
+
+def answers_twice() -> None:
+    give = clients.Turn.give
+
+    def twice(self: clients.Turn, answer: bytes) -> None:
+        give(self, answer + answer if answer[:1] == b"$" else answer)
+
+    clients.Turn.give = twice
+
+
+def answers_never() -> None:
+    give = clients.Turn.give
+    clients.Turn.give = lambda self, answer: give(self, answer) if answer[:1] != b"$" else None
+
+
+def asks_at_once() -> None:
+    """A line that nobody stands in."""
+    line.Line.enter = lambda self, now, part=1.0: now
+    line.Line.refused = lambda self, now, after=0.0: now + 0.02
+
+
+def makes_up_for_turns() -> None:
+    """A turn that was slept through is taken all the same."""
+    grid.Grid.lapsed = lambda self, slot, now: False
+
+
+def opens_without_list() -> None:
+    async def listed(self: proxy.Proxy) -> None:
+        pass
+
+    proxy.Proxy.listed = listed
+
+
+def sends_after_drain() -> None:
+    told = discovery.Discovery.told
+    first: list[bool] = []
+
+    def deaf(self: discovery.Discovery, *news: object) -> None:
+        if not first:
+            first.append(True)
+            told(self, *news)
+
+    discovery.Discovery.told = deaf
+
+
+def two_out() -> None:
+    """A second copy while the first is out; a non-retriable RPC has its effect twice."""
+    send = caches.Caches.send
+
+    def twice(self: caches.Caches, name: str, *rest: object) -> object:
+        sending = send(self, name, *rest)
+        pool = self.pools[name]
+        other = next((p for p in self.pools.values() if p is not pool and p.wanted), None)
+        if other is not None:
+            extra = caches.Sending(object(), 0, sending.data, sending.at, sending.last)
+            extra.timer, extra.over = self.loop.call_later(9.0, lambda: None), True
+            if (copy := other.line(9.0)) is not None:
+                copy.send(extra)
+        return sending
+
+    caches.Caches.send = twice
+
+
+def opens_beyond_share() -> None:
+    """Handshakes as they come, and a new connection for each RPC."""
+    shares.Shares.begin = lambda self, name, turn, now, wall: now
+    rest = caches.Line.rest
+
+    def close(self: caches.Line) -> None:
+        rest(self)
+        self.cut()
+
+    caches.Line.rest = close
+
+
+def floods_cold() -> None:
+    """Cold caches are sent all that comes."""
+    from calicofall.policy import Policy
+
+    Policy._cold_room = lambda self, now, rpc, cache: True
+    Policy._room = lambda self, now, limit, rpc: True
+
+
+ROGUES = {name.__name__: name for name in (
+    answers_twice, answers_never, asks_at_once, makes_up_for_turns, opens_without_list, sends_after_drain,
+    two_out, opens_beyond_share, floods_cold)}
+
+if __name__ == "__main__":
+    from calicofall.__main__ import main
+
+    ROGUES[sys.argv.pop(1)]()
+    main(prog_name="calicofall")
--- /dev/null
+++ b/tests/test_stage.py
@@ -0,0 +1,329 @@
+"""The stage itself: drills that are wrong, models, links, and a referee that can fail."""
+
+import asyncio
+import os
+import signal
+import subprocess
+import sys
+import time
+from pathlib import Path
+from random import Random
+
+import pytest
+from click.testing import CliRunner
+
+from calicofall.__main__ import main
+from calicofall.stage import drill, report
+from calicofall.stage.links import Fault, Links
+from calicofall.stage.models import Cache, Origin, Service
+from calicofall.stage.play import play
+from calicofall.stage.records import Answered, Asked, Hand, Life, Records, Run, Send, Told, Try
+from calicofall.stage.referee import crowded, held, judge
+from calicofall.stage.wires import address, number_of
+
+ROGUES = Path(__file__).with_name("rogues.py")
+SMALL = {"name": "small", "seconds": 8.0, "fleet": {"proxies": 4, "caches": 3, "speak": True},
+         "service": {"room": 4.0}, "traffic": {"per_s": 40.0},
+         "cache": {"handshakes": 16.0, "connections": 16}}
+
+
+def small(**changes: object) -> drill.Drill:
+    return drill.read(SMALL | changes, "small")
+
+
+# Drills
+
+
+@pytest.mark.parametrize("changes,field", [
+    ({"seconds": -1}, "seconds"), ({"fleet": {"proxies": 0}}, "fleet.proxies"),
+    ({"fleet": {"proxies": 3, "size": 2}}, "fleet.size"), ({"service": {"room": "much"}}, "service.room"),
+    ({"event": [{"at": 1.0, "do": "explode"}]}, "event.0"), ({"event": [{"at": 9.0, "do": "drain"}]}, "9"),
+    ({"event": [{"at": 2.0, "until": 1.0, "do": "cut"}]}, "event.0.cut"), ({"name": "A b"}, "name"),
+    ({"event": [{"at": 1.0, "do": "kill", "who": "nobody"}]}, "event.0.kill.who"),
+    ({"cache": {"connections": 2}}, "cache.connections")])
+def test_a_wrong_drill_is_one_line_and_nothing_starts(changes: dict, field: str, tmp_path: Path) -> None:
+    def toml(value: object) -> str:
+        if isinstance(value, dict):
+            return "{" + ", ".join(f"{name} = {toml(item)}" for name, item in value.items()) + "}"
+        if isinstance(value, list):
+            return "[" + ", ".join(map(toml, value)) + "]"
+        return str(value).lower() if isinstance(value, bool) else repr(value).replace("'", '"')
+
+    file = tmp_path / "wrong.toml"
+    file.write_text("\n".join(f"{name} = {toml(value)}" for name, value in (SMALL | changes).items()))
+    result = CliRunner().invoke(main, ["stage", "run", str(file), "--out", str(tmp_path / "out")])
+    assert result.exit_code == 2 and field in result.output and str(file) in result.output
+    assert result.output.count("\n") == 1 and not (tmp_path / "out").exists()
+
+
+def test_files_that_are_no_drill_are_one_line(tmp_path: Path) -> None:
+    (tmp_path / "x.toml").write_text("name = [")
+    for name, word in ((str(tmp_path / "x.toml"), "no TOML"), ("nowhere", "cold-start")):
+        result = CliRunner().invoke(main, ["stage", "run", name])
+        assert result.exit_code == 2 and word in result.output and result.output.count("\n") == 1
+
+
+def test_all_ready_drills_are_right_and_listed() -> None:
+    shown = CliRunner().invoke(main, ["stage", "list"]).output
+    assert all(drill.load(name).name == name and name in shown for name in drill.ready()) and drill.ready()
+
+
+def test_groups_name_what_they_say() -> None:
+    assert drill.names("zone:b,p0-p1,list", 4, 3, 2) == {"p1", "p3", "c1", "p0", "list"}
+    assert drill.names("half", 5, 3, 2) == {"p0", "p2", "p4"}
+
+
+# Models and links
+
+
+def test_a_service_begins_no_more_than_its_room() -> None:
+    service, chance = Service(10.0, 1000), Random(1)
+    times = sorted(chance.uniform(0.0, 10.0) for _ in range(600))
+    begun = [at for at in times if service.ask(at) is not None]
+    assert 95 <= len(begun) <= 106 and crowded(begun)[0] <= 15
+    queue = Service(10.0, 1000, queue=20)
+    assert [queue.ask(0.0) for _ in range(40)].count(None) == 15 and queue.ask(0.0) is None
+
+
+def test_a_service_tells_what_changed_and_begins_its_versions_anew() -> None:
+    service = Service(10.0, 10)
+    for number in range(4):
+        service.put({"name": f"c{number}", "status": "SERVING"})
+    service.put({"name": "c0", "status": "DELETED"})
+    assert [e["name"] for e in service.since(3)["endpoints"]] == ["c3", "c0"]
+    assert service.since(None)["snapshot"] and len(service.since(None)["endpoints"]) == 3
+    service.restart(2)
+    assert service.since(4)["snapshot"] and service.since(4)["index"] == 2
+
+
+def cache(**changes: object) -> Cache:
+    plain = {"slots": 2, "queue": 2, "connections": 2, "handshake": 0.01, "hit": 0.1, "keys": 2,
+             "cold_share": 0.5, "cold": 10.0, "fall": 2.0, "fall_span": 1.0}
+    return Cache(Origin(1, 0.5), **plain | changes)
+
+
+def test_a_cache_has_slots_a_queue_a_table_and_memory() -> None:
+    model = cache()
+    assert model.handshake(0.0) == 0.01 and model.handshake(0.0) and model.handshake(0.0) is None
+    first = model.command(1.0, "a", False)
+    assert (first.note, round(first.at, 3)) == ("miss", 1.6)
+    assert model.command(1.0, "a", False) == (first.at, True, "pending")
+    assert model.command(2.0, "a", False) == (2.1, True, "hit")
+    for key in "bc":
+        model.command(3.0, key, False)
+    assert model.command(9.0, "a", False).note == "miss"  # pushed out by two others
+    answers = [model.command(20.0, "c", False).ran for _ in range(6)]
+    assert answers == [True] * 4 + [False] * 2
+
+
+def test_a_cold_cache_warms_and_falls_over_when_pushed() -> None:
+    model = cache(hit=0.01, queue=1000)
+    model.start(0.0)
+    assert model.capacity(0.0) == 100.0 and model.capacity(20.0) == 200.0
+    for number in range(300):
+        model.command(number / 300.0, "a", False)
+    assert model.falls and not model.command(1.1, "a", False).ran
+
+
+def test_links_are_by_pair_and_direction_and_end() -> None:
+    links = Links(1)
+    one_way = Fault(frozenset({"p1"}), frozenset({"c1", "p2"}), {"cut_to": True})
+    links.begin(1.0, one_way)
+    assert links.of("p1", "c1").cut_to and not links.of("p1", "c1").cut_back
+    assert links.of("p2", "p1").cut_back and not links.of("p2", "c1").cut_to
+    links.end(2.0, one_way)
+    assert not links.of("p1", "c1").cut_to and links.spans == [(1.0, 2.0, "cut_to")]
+
+
+def test_each_proxy_sees_the_others_under_addresses_of_its_own() -> None:
+    assert all(number_of(address(number)) == number for number in range(1000))
+    assert number_of("127.0.0.1") is None and number_of("10.0.0.1") is None
+
+
+# The referee, on records made up here
+
+
+def seen() -> Records:
+    """A good second: one read, one order, each answered once."""
+    records = Records(began=100.0, ended=110.0)
+    records.lives = [Life(100.0, "p0", "launched")]
+    records.told = [Told(100.5, "p0", (("c0", "SERVING"), ("c1", "SERVING")), True)]
+    records.pongs = [(100.6, "p0")]
+    records.tries = [Try(101.0, "p0", "1", "read", 1.0), Try(101.0, "p0", "2", "order", 1.0)]
+    records.sends = [Send(101.01, "p0", "c0", "1", "read", "", 900.0),
+                     Send(101.01, "p0", "c1", "2", "order", "m", 900.0)]
+    records.outs = {0: 101.1, 1: 101.1}
+    records.runs = [Run(101.01, "c0", "1", "read", ""), Run(101.01, "c1", "2", "order", "m")]
+    records.answers = [Answered(101.1, "p0", "1", "completed"), Answered(101.1, "p0", "2", "completed")]
+    return records
+
+
+def rules(records: Records, **changes: object) -> set[str]:
+    return {finding.rule for finding in judge(small(**changes), records).findings}
+
+
+def test_a_good_run_passes_and_says_how_much_it_judged() -> None:
+    verdict = judge(small(), seen())
+    assert verdict.word == "passed" and verdict.figures["tries_judged"] == 2 and verdict.figures["sends"] == 2
+
+
+@pytest.mark.parametrize("fault,rule", [
+    (lambda r: r.answers.pop(), "one answer"),
+    (lambda r: r.answers.append(Answered(101.2, "p0", "1", "completed")), "one answer"),
+    (lambda r: r.answers.append(Answered(101.2, "p0", "", "unowed")), "one answer"),
+    (lambda r: r.answers.__setitem__(0, Answered(102.2, "p0", "1", "completed")), "one answer"),
+    (lambda r: r.answers.__setitem__(0, Answered(101.2, "p0", "1", "another's")), "one answer"),
+    (lambda r: r.sends.append(Send(102.3, "p0", "c0", "1", "read", "", 9.0)), "one answer"),
+    (lambda r: r.sends.append(Send(102.3, "p0", "c0", "9", "read", "", 9.0)), "one answer"),
+    (lambda r: r.runs.append(Run(101.5, "c0", "2", "order", "m")), "effects"),
+    (lambda r: r.runs.append(Run(107.0, "c0", "3", "save", "m")), "effects"),
+    (lambda r: r.answers.__setitem__(1, Answered(101.2, "p0", "2", "exhausted")), "effects"),
+    (lambda r: r.sends.append(Send(101.03, "p0", "c1", "1", "read", "", 9.0)), "effects"),
+    (lambda r: r.told.append(Told(100.6, "p0", (("c0", "DRAINING"),), False)), "drains"),
+    (lambda r: r.told.append(Told(100.6, "p0", (("c1", "SERVING"),), True)), "drains"),
+    (lambda r: r.sends.append(Send(101.5, "p0", "c7", "1", "read", "", 9.0)), "drains"),
+    (lambda r: r.falls.append((101.0, "c0")), "cold caches"),
+    (lambda r: r.pongs.insert(0, (100.2, "p0")), "door"),
+    (lambda r: r.lives.append(Life(101.0, "p0", "exited", 1)), "crash"),
+    (lambda r: r.asked.extend(Asked(101.0 + i / 100, "p0", "asked") for i in range(9)), "asks"),
+    (lambda r: r.hands.extend(Hand(101.0 + i / 100, "p0", "c0", not i % 2) for i in range(18)), "handshakes"),
+    (lambda r: r.hands.extend(Hand(100.0 + i, "p0", "c0", True) for i in range(9)), "connections"),
+    (lambda r: r.fetches.extend((101.0, 102.0) for _ in range(4)), "fetches")])
+def test_the_referee_finds_each_break(fault: object, rule: str) -> None:
+    records = seen()
+    fault(records)
+    must = {"asks_per_room": 1.5, "handshakes": 6.0, "connections": 8, "fetches": 3}
+    assert rules(records, must=must) == {rule}
+
+
+def test_the_referee_finds_a_cold_cache_that_all_push() -> None:
+    records = seen()
+    records.cold = {"c0": [101.0]}
+    records.tries += [Try(101.0, "p0", f"x{i}", "read", 5.0) for i in range(9000)]
+    records.answers += [Answered(103.0, "p0", f"x{i}", "completed") for i in range(9000)]
+    records.sends += [Send(101.0 + i / 4500, "p0", "c0", f"x{i}", "read", "", 900.0) for i in range(9000)]
+    records.outs |= {place: 103.0 for place in range(2, 9002)}
+    assert rules(records) == {"cold caches"}
+
+
+def test_a_list_that_comes_too_late_or_never_is_found() -> None:
+    records = seen()
+    must = {"list_factor": 1.3, "serves_all_s": 5.0}
+    found = judge(small(must=must), records).findings
+    assert {f.proxy for f in found if f.rule == "list"} == {"p1", "p2", "p3"}
+    assert {f.proxy for f in found if f.rule == "door"} == {"p1", "p2", "p3"}
+
+
+def test_what_a_dead_or_stopped_proxy_owed_is_not_judged() -> None:
+    records = seen()
+    records.answers.clear()
+    records.lives.append(Life(101.02, "p0", "killed"))
+    verdict = judge(small(), records)
+    assert not verdict.findings and verdict.figures["tries_exempt"] == 2
+
+
+def test_a_machine_too_busy_to_tell_voids_the_run() -> None:
+    records = seen()
+    records.lags = [(101.0, 2.0)]
+    assert judge(small(), records).word == "void"
+    records = seen()
+    records.waits = 0.8
+    assert judge(small(), records).word == "void"
+    assert judge(small(), Records(began=0.0, ended=9.0)).word == "void"  # quiet is not good
+
+
+def test_the_most_in_any_second_and_at_one_time() -> None:
+    assert crowded([0.0, 0.5, 0.9, 1.2, 1.4, 5.0])[0] == 4
+    assert held([0.0, 1.0, 2.0], [1.0, 3.0]) == (2, 2.0)
+
+
+# Processes
+
+
+def test_ctrl_c_ends_all_that_was_started(tmp_path: Path) -> None:
+    command = [sys.executable, "-m", "calicofall", "stage", "run", "cold-start", "--proxies", "3"]
+    stage = subprocess.Popen([*command, "--out", str(tmp_path)], stdout=subprocess.PIPE,
+                             stderr=subprocess.STDOUT)
+
+    def proxies() -> int:
+        found = 0
+        for process in Path("/proc").glob("[0-9]*"):
+            try:
+                found += str(tmp_path).encode() in (process / "environ").read_bytes() and \
+                    f"({Path(sys.executable).name}" in (process / "stat").read_text() and \
+                    int(process.name) not in (stage.pid, os.getpid())
+            except OSError:
+                continue
+        return found
+
+    ends = time.monotonic() + 20.0
+    while proxies() < 3 and time.monotonic() < ends:
+        time.sleep(0.1)
+    assert proxies() == 3
+    stage.send_signal(signal.SIGINT)
+    out, _ = stage.communicate(timeout=20.0)
+    assert stage.returncode == 2 and b"stopped" in out and b"Traceback" not in out and proxies() == 0
+
+
+CAUGHT = {"answers_twice": "one answer", "answers_never": "one answer", "opens_without_list": "door",
+          "sends_after_drain": "drains", "two_out": "effects"}
+
+
+def test_proxies_broken_on_purpose_are_each_caught_and_no_other_is_blamed(tmp_path: Path) -> None:
+    """Five break a rule each, four are sound; the referee names the five."""
+    plan = small(fleet={"proxies": 9, "caches": 4, "speak": False, "told": False}, seconds=7.0,
+                 service={"room": 100.0}, traffic={"per_s": 90.0, "orders": 0.2}, cache={"cold": False},
+                 event=[{"at": 3.5, "do": "drain", "who": "c1"},
+                        {"at": 0.0, "until": 1.5, "do": "cut", "who": "p2,p8", "to": "list", "way": "back"}])
+    commands = {number: [sys.executable, str(ROGUES), name, "serve"] for number, name in enumerate(CAUGHT)}
+    os.environ["PYTHONPATH"] = str(ROGUES.parent.parent)
+    verdict, _ = play(plan, tmp_path, commands=commands)
+    found: dict[str, set[str]] = {}
+    for finding in verdict.findings:
+        found.setdefault(finding.proxy, set()).add(finding.rule)
+    assert not verdict.void and found.keys() == {f"p{number}" for number in range(5)}, found
+    for number, rule in enumerate(CAUGHT.values()):
+        assert rule in found[f"p{number}"], (rule, found)
+
+
+def test_bounds_broken_on_purpose_are_each_caught(tmp_path: Path) -> None:
+    """A fleet that asks at once, one that opens beyond its share, one that floods cold caches."""
+    fleet = {"proxies": 10, "caches": 2, "speak": False, "told": True}
+    must = {"asks_per_room": 1.5, "handshakes": 20.0, "connections": 20}
+    for rogue, rule, changes in (
+            ("asks_at_once", "asks", {"service": {"room": 4.0}}),
+            ("opens_beyond_share", "handshakes", {"service": {"room": 100.0}}),
+            ("floods_cold", "cold caches", {"cache": {"handshakes": 1000.0, "connections": 64, "slots": 1,
+                                                      "hit_ms": 40.0, "cold_share": 0.1, "cold_s": 30.0}})):
+        plan = small(fleet=fleet, seconds=6.0, must=must, **{"traffic": {"per_s": 150.0},
+                     "cache": {"handshakes": 20.0, "connections": 20}} | changes)
+        commands = {number: [sys.executable, str(ROGUES), rogue, "serve"] for number in range(10)}
+        os.environ["PYTHONPATH"] = str(ROGUES.parent.parent)
+        verdict, _ = play(plan, tmp_path / rogue, commands=commands)
+        assert not verdict.void and rule in {finding.rule for finding in verdict.findings}, rogue
+
+
+def test_results_are_kept_shown_and_drawn(tmp_path: Path) -> None:
+    records = seen()
+    report.keep(tmp_path, small(), judge(small(), records), records)
+    chart = tmp_path / "chart.png"
+    result = CliRunner().invoke(main, ["stage", "report", str(tmp_path), "--chart", str(chart)])
+    assert result.exit_code == 0 and "passed" in result.output and chart.stat().st_size > 1000
+    result = CliRunner().invoke(main, ["stage", "report", str(tmp_path / "none")])
+    assert result.exit_code == 2 and result.output.count("\n") == 1
+
+
+def test_a_drill_of_twelve_processes_with_faults_holds_rules_and_bounds(tmp_path: Path) -> None:
+    """A cold start with half of the links to the list service cut, a third stopped in line, then a drain."""
+    plan = drill.read({
+        "name": "mixed", "seconds": 16.0, "fleet": {"proxies": 12, "caches": 8, "speak": True},
+        "service": {"room": 4.0}, "cache": {"handshakes": 36.0, "connections": 48},
+        "traffic": {"per_s": 60.0}, "event": [
+            {"at": 0.0, "until": 5.0, "do": "cut", "who": "half", "to": "list", "way": "back"},
+            {"at": 1.0, "until": 4.0, "do": "stop", "who": "third"},
+            {"at": 7.0, "do": "drain", "who": "c1"}, {"at": 8.0, "do": "restart", "who": "p1,p2"},
+            {"at": 9.0, "until": 11.0, "do": "cut", "who": "zone:a", "to": "zone:b"}],
+        "must": {"asks_per_room": 1.5, "handshakes": 36.0, "connections": 48, "served": 0.8}}, "mixed")
+    verdict, _ = asyncio.run(asyncio.to_thread(play, plan, tmp_path))
+    assert verdict.word == "passed", (verdict.void, verdict.findings[:5])
+    assert verdict.figures["tries_judged"] > 300 and verdict.figures["lives"] == 14
