--- a/calicofall/__main__.py
+++ b/calicofall/__main__.py
@@ -108,7 +108,7 @@
     """The stage's commands, read only when asked for: a proxy that serves loads none of it."""
 
     def list_commands(self, context: click.Context) -> list[str]:
-        return ["list", "report", "run"]
+        return ["list", "report", "run", "walk"]
 
     def get_command(self, context: click.Context, name: str) -> click.Command | None:
         from calicofall.stage.__main__ import stage
--- a/calicofall/stage/__main__.py
+++ b/calicofall/stage/__main__.py
@@ -75,6 +75,37 @@
     sys.exit(VOID if verdict.void else PASSED if verdict.passed else BROKEN)
 
 
+@stage.command()
+@click.option("--seed", type=int, default=1, help="The first of the seeds.")
+@click.option("--count", type=click.IntRange(1, 10_000), default=5)
+@click.option("--out", type=click.Path(file_okay=False), help="Where logs and results go.")
+def walk(seed: int, count: int, out: str | None) -> None:
+    """Play drills drawn from seeds; the first that fails is shrunk to the shortest that still does."""
+    _, report, play = parts()
+    from calicofall.stage import walk as drawn
+
+    folder, void = Path(out or tempfile.mkdtemp(prefix="stage-walk-")), 0
+    try:
+        for number in range(seed, seed + count):
+            plan = drawn.draw(number)
+            verdict, records = play(plan, folder / plan.name)
+            report.keep(folder / plan.name, plan, verdict, records)
+            click.echo(f"{plan.name}: {verdict.word} {verdict.void}"
+                       f"{', '.join(sorted({finding.rule for finding in verdict.findings}))}")
+            void += bool(verdict.void)
+            if verdict.findings:
+                rules = {finding.rule for finding in verdict.findings}
+                small = drawn.shrunk(plan, lambda one, rules=rules: bool(
+                    rules & {f.rule for f in play(one, folder / "shrunk")[0].findings}), click.echo)
+                file = folder / f"{plan.name}.toml"
+                file.write_text(drawn.written(small))
+                click.echo(f"{file}: {len(small.event)} events, {small.fleet.proxies} proxies")
+                sys.exit(BROKEN)
+    except KeyboardInterrupt:
+        raise Stop("stopped: all that was started has ended") from None
+    sys.exit(VOID if void else PASSED)
+
+
 @stage.command(name="report")
 @click.argument("results", nargs=-1, required=True)
 @click.option("--chart", type=click.Path(dir_okay=False), help="A picture of what was seen by second.")
--- a/tests/test_stage.py
+++ b/tests/test_stage.py
@@ -6,6 +6,7 @@
 import subprocess
 import sys
 import time
+import tomllib
 from pathlib import Path
 from random import Random
 
@@ -13,7 +14,7 @@
 from click.testing import CliRunner
 
 from calicofall.__main__ import main
-from calicofall.stage import drill, report
+from calicofall.stage import drill, report, walk
 from calicofall.stage.links import Fault, Links
 from calicofall.stage.models import Cache, Origin, Service
 from calicofall.stage.play import play
@@ -73,6 +74,17 @@
     assert drill.names("half", 5, 3, 2) == {"p0", "p2", "p4"}
 
 
+def test_a_drill_drawn_from_a_seed_is_the_same_again_and_is_shrunk_to_what_fails() -> None:
+    """A failure that needs one event of four, and three proxies."""
+    plan = next(plan for plan in map(walk.draw, range(50))
+                if len(plan.event) == 4 and any(one.do == "stop" for one in plan.event))
+    assert plan == walk.draw(plan.seed) != walk.draw(plan.seed + 1)
+    tried: list[str] = []
+    least = walk.shrunk(plan, lambda one: any(e.do == "stop" for e in one.event), tried.append)
+    assert [one.do for one in least.event] == ["stop"] and least.fleet.proxies == 3 and tried
+    assert drill.read(tomllib.loads(walk.written(least)), "again") == least
+
+
 # Models and links
 
 
