--- a/calicofall/__main__.py
+++ b/calicofall/__main__.py
@@ -7,6 +7,7 @@
 import asyncio
 import os
 import sys
+from importlib import import_module
 from typing import Any
 
 import click
@@ -105,18 +106,24 @@
 
 
 class Apart(click.Group):
-    """The stage's commands, read only when asked for: a proxy that serves loads none of it."""
+    """Commands of a part that are read only when asked for: a proxy that serves loads none of it."""
+
+    def __init__(self, part: str, name: str, says: str) -> None:
+        super().__init__(name, help=says)
+        self.part = part
+
+    def group(self) -> click.Group:
+        return getattr(import_module(f"calicofall.{self.part}.__main__"), self.name)
 
     def list_commands(self, context: click.Context) -> list[str]:
-        return ["list", "report", "run", "walk"]
+        return self.group().list_commands(context)
 
     def get_command(self, context: click.Context, name: str) -> click.Command | None:
-        from calicofall.stage.__main__ import stage
-
-        return stage.get_command(context, name)
+        return self.group().get_command(context, name)
 
 
-main.add_command(Apart("stage", help="Many processes with faults between them, and a referee."))
+main.add_command(Apart("stage", "stage", "Many processes with faults between them, and a referee."))
+main.add_command(Apart("fleet", "settings", "Settings documents with versions."))
 
 
 @main.command()
--- a/calicofall/stage/play.py
+++ b/calicofall/stage/play.py
@@ -7,6 +7,7 @@
 import asyncio
 import os
 import signal
+import socket
 import subprocess
 import sys
 import time
@@ -25,21 +26,27 @@
 from calicofall.stage.referee import Verdict, judge
 from calicofall.stage.wires import CacheStand, Relay, ServiceStand, Wire, address
 
+FIRST_PORT = 10_240
 LOOK = 0.02  # s between two looks at the stage's own lateness
 LATE = 0.05  # s from which it counts
 ZONES = "abcdefgh"
 PROGRAM = [sys.executable, "-O", "-m", "calicofall", "serve"]
 
 
-def ports(count: int) -> list[int]:
-    """Ports that are free now, to be listened at by proxies."""
-    import socket
+def ports(count: int, kind: int = socket.SOCK_STREAM) -> list[int]:
+    """Ports that are free now, to be listened at by proxies.
 
-    plugs = [socket.create_server(("127.0.0.1", 0)) for _ in range(count)]
-    found = [plug.getsockname()[1] for plug in plugs]
-    for plug in plugs:
-        plug.close()
-    return found
+    From below those that the system gives to outgoing connections: one of these would be taken by the time
+    that the last of three hundred proxies is up.
+    """
+    found: list[int] = []
+    for port in range(FIRST_PORT + os.getpid() % 64 * 256, 32_000):
+        with socket.socket(socket.AF_INET, kind) as plug, suppress(OSError):
+            plug.bind(("127.0.0.1", port))
+            found.append(port)
+        if len(found) == count:
+            return found
+    raise OSError("no ports left")
 
 
 class Play:
@@ -51,7 +58,7 @@
         self.wires: set[Wire] = set()
         self.processes: dict[str, subprocess.Popen] = {}
         self.files: list[Any] = []
-        self.waits: dict[str, tuple[float, float]] = {}
+        self.waits: dict[int, int] = {}  # ns that a process has waited for a core
         self.stopping = False
 
     async def run(self) -> Verdict:
@@ -114,7 +121,7 @@
             model.put(self.entry(name, since=wall if cache.cold else 0.0))
         self.relays, self.speaks = [], []
         if fleet.speak:
-            self.speaks = ports(fleet.proxies)
+            self.speaks = ports(fleet.proxies, socket.SOCK_DGRAM)
             self.relays = [Relay(self, i, lambda peer: (self.relays[peer], self.speaks[peer]))
                            for i in range(fleet.proxies)]
 
@@ -349,17 +356,18 @@
         self.loop.call_at(self.expected, self.look)
 
     def usage(self) -> None:
-        """How long proxies ran, and how long they waited for a core, by the system."""
-        ran = waited = 0.0
+        """How long the proxy that waited longest for a core did so since the last look, by the system."""
+        worst = 0.0
         for process in self.processes.values():
             with suppress(OSError, ValueError):
                 figures = Path(f"/proc/{process.pid}/schedstat").read_text().split()
-                ran, waited = ran + int(figures[0]) / 1e9, waited + int(figures[1]) / 1e9
-        span = max(1e-9, self.records.ended - self.records.began) * max(1, len(self.processes))
-        self.records.waits = waited / span
-        self.ran = ran
+                before = self.waits.get(process.pid, 0)
+                self.waits[process.pid] = now = int(figures[1])
+                worst = max(worst, (now - before) / 1e9)
+        self.records.waits.append((self.loop.time(), worst))
 
     def progress(self) -> None:
+        self.usage()
         heard = len({told.proxy for told in self.records.told})
         asked = sum(ask.what == "asked" for ask in self.records.asked)
         self.tell(f"{self.loop.time() - self.began:6.1f} s  up {len(self.clients.up)}, lists {heard}, asked "
@@ -372,4 +380,15 @@
     """Plays a drill to its end; all processes that it started are gone then, also after Ctrl-C."""
     folder.mkdir(parents=True, exist_ok=True)
     stage = Play(drill, folder, program, commands, told)
-    return asyncio.run(stage.run()), stage.records
+
+    async def run() -> Verdict:
+        loop, task = asyncio.get_running_loop(), asyncio.current_task()
+        for number in (signal.SIGINT, signal.SIGTERM):  # also where a shell has them ignored
+            with suppress(ValueError, RuntimeError):  # not in the main thread
+                loop.add_signal_handler(number, task.cancel)
+        return await stage.run()
+
+    try:
+        return asyncio.run(run()), stage.records
+    except asyncio.CancelledError:
+        raise KeyboardInterrupt from None
--- a/calicofall/stage/records.py
+++ b/calicofall/stage/records.py
@@ -102,5 +102,5 @@
     falls: list[tuple[float, str]] = field(default_factory=list)
     cold: dict[str, list[float]] = field(default_factory=dict)  # by cache, when it started from nothing
     lags: list[tuple[float, float]] = field(default_factory=list)  # of the stage itself, over 50 ms
-    waits: float = 0.0  # s that proxies waited for a core, on average
+    waits: list[tuple[float, float]] = field(default_factory=list)  # s that one waited for a core
     faults: list[tuple[float, float, str]] = field(default_factory=list)
--- a/calicofall/stage/referee.py
+++ b/calicofall/stage/referee.py
@@ -17,7 +17,7 @@
 WINDOW = 5.0  # s in which a deduped write may run again, by its group's caches
 CROSS = 0.03  # s by which two connections of one proxy may be seen in the wrong order
 LAG = 0.75  # s that the stage itself may be late; over it nothing can be told
-WAITED = 0.5  # of their time that proxies may have waited for a core
+WAITED = 0.5  # s of a second that any proxy may have waited for a core, while RPCs came
 STALE = 6.0  # s after which what the service has to tell is held against a proxy, heard or not
 EDGE = 0.1  # of a bound a second: where the stage's own lateness may have put two seconds into one
 
@@ -70,6 +70,8 @@
         self.findings: list[Finding] = []
         self.figures: dict[str, Any] = {}
         self.lag = max([lag for _, lag in records.lags], default=0.0)
+        first = min([attempt.at for attempt in records.tries], default=float("inf"))
+        self.waited = max([part for at, part in records.waits if at - 1.0 > first], default=0.0)
         # By proxy: spans in which it could not act, for it was dead or stopped.
         self.away: dict[str, list[tuple[float, float]]] = defaultdict(list)
         since: dict[str, float] = {}
@@ -91,14 +93,14 @@
         for part in (self.one_answer, self.effects, self.drains, self.cold, self.service, self.shares,
                      self.served, self.crashes):
             part()
-        self.figures |= {"lag_s": round(self.lag, 3), "waited_for_core": round(self.records.waits, 3),
+        self.figures |= {"lag_s": round(self.lag, 3), "waited_for_core": round(self.waited, 3),
                          "faults": [what for *_, what in self.records.faults],
                          "sends": len(self.records.sends), "answers": len(self.records.answers)}
         void = ""
         if self.lag > LAG:
             void = f"the stage was late by {self.lag:.2f} s"
-        elif self.records.waits > WAITED:
-            void = f"proxies waited {self.records.waits:.0%} of their time for a core"
+        elif self.waited > WAITED:
+            void = f"a proxy waited {self.waited:.2f} s of a second for a core"
         elif not self.records.answers and not self.drill.must.served:
             void = "no answer was judged"
         return Verdict(not self.findings and not void, void, sorted(self.findings, key=lambda f: f.at),
--- a/calicofall/start/shares.py
+++ b/calicofall/start/shares.py
@@ -16,7 +16,7 @@
 
 from calicofall.start.grid import Grid
 
-HOLD = 0.5  # of what is left of the soft deadline, that an RPC waits for a connection's turn
+HOLD = 0.8  # of what is left of the soft deadline, that an RPC waits for a connection's turn
 
 
 class Shares:
--- a/tests/test_stage.py
+++ b/tests/test_stage.py
@@ -239,7 +239,9 @@
     records.lags = [(101.0, 2.0)]
     assert judge(small(), records).word == "void"
     records = seen()
-    records.waits = 0.8
+    records.waits = [(100.5, 0.9), (103.0, 0.2)]
+    assert judge(small(), records).word == "passed"  # before anybody asked
+    records.waits.append((104.0, 0.9))
     assert judge(small(), records).word == "void"
     assert judge(small(), Records(began=0.0, ended=9.0)).word == "void"  # quiet is not good
 
@@ -252,7 +254,8 @@
 # Processes
 
 
-def test_ctrl_c_ends_all_that_was_started(tmp_path: Path) -> None:
+@pytest.mark.parametrize("what", [signal.SIGINT, signal.SIGTERM])
+def test_ctrl_c_ends_all_that_was_started(what: int, tmp_path: Path) -> None:
     command = [sys.executable, "-m", "calicofall", "stage", "run", "cold-start", "--proxies", "3"]
     stage = subprocess.Popen([*command, "--out", str(tmp_path)], stdout=subprocess.PIPE,
                              stderr=subprocess.STDOUT)
@@ -272,7 +275,7 @@
     while proxies() < 3 and time.monotonic() < ends:
         time.sleep(0.1)
     assert proxies() == 3
-    stage.send_signal(signal.SIGINT)
+    stage.send_signal(what)
     out, _ = stage.communicate(timeout=20.0)
     assert stage.returncode == 2 and b"stopped" in out and b"Traceback" not in out and proxies() == 0
 
