Settings by versions in the proxy, agreed on among processes; publish and status

RPCs in hand stand under what their version and the new one allow together. Off without 'document' in the configuration. The stage publishes, and its referee holds sends against the documents that a majority was handed: bound D = lease (1 + drift)^2 + pause. A proxy that ignores its lease is found.

--- a/calicofall/__main__.py
+++ b/calicofall/__main__.py
@@ -45,6 +45,10 @@
             words.listing(node["known"])
         words.check(node["settings"])
         words.starts(node)
+        if node.get("document") is not None:
+            from calicofall.net import versions
+
+            versions.first(node)
         deployment = words.deployment(node["settings"])
         for method in deployment["methods"]:
             for part in ("name", "repeats", "window", "soft_deadline", "hard_deadline"):
--- a/calicofall/facade.py
+++ b/calicofall/facade.py
@@ -7,8 +7,10 @@
 
 from heapq import heappop, heappush
 
-from calicofall.policy import Policy
-from calicofall.rpc import Rpc
+from calicofall.fleet import fields
+from calicofall.policy import ANY, BOUND, Policy
+from calicofall.ring import Ring
+from calicofall.rpc import MARK, Rpc
 from calicofall.start import snapshot
 
 FETCH = "fetch"  # the usual time of a fetch, among those of methods
@@ -21,7 +23,7 @@
         self.listed, self.heard, self.avoided = self.policy.listed, self.policy.heard, self.policy.avoided
         self.hand: dict[str, Rpc] = {}
         self.waits: list[tuple[float, int, Rpc]] = []
-        self.count = 0
+        self.count = self.applied = 0
         self.lines: list[str] = []  # what the module has to say, for the log
         self.chores: list[tuple] = []  # ("close", cache), ("follow",) and the like, for the caller
 
@@ -91,6 +93,56 @@
             cache = policy.caches[name]
             cache.part, cache.part_at, cache.aside = part, now, part <= 0.25
 
+    def apply(self, now: float, deployment: dict) -> None:
+        """Other settings from here on, whole. RPCs in hand end under rules that both allow: each stands under
+        a method of its own from now on, until it is over."""
+        policy, self.applied = self.policy, self.applied + 1
+        methods = {method["name"]: method for method in deployment["methods"]}
+        taken: dict[str, str] = {}
+        for rpc in self.hand.values():
+            alias = taken.setdefault(rpc.method, f"{rpc.name}{MARK}{self.applied}.{len(taken)}")
+            if alias not in methods:
+                before = policy.methods[rpc.method]
+                after = methods.get(rpc.name) or before | {"zones_open": [fields.CLOSED]}
+                methods[alias] = fields.between(before, after) | {"name": alias}
+                for known in (policy.usual, policy.typical):
+                    known[alias] = known[rpc.method]
+            rpc.method = alias
+        policy.methods = methods
+        policy.rules, policy.caps = deployment["rules"], deployment["caps"]
+        policy.most = policy.caps.get("most_transmissions") or 3
+        policy.soonest = min((m["soft_deadline"] for m in methods.values()), default=policy.soonest)
+        for name in [*policy.usual]:
+            if name is not None and name not in methods:
+                del policy.usual[name], policy.typical[name]
+        for name in methods:
+            policy.usual.setdefault(name, Ring(60_000.0, 24))
+            policy.typical.setdefault(name, None)
+        top = max((method.get("gain") or 1.0 for method in methods.values()), default=1.0)
+        policy.rank = {name: (method.get("gain") or 1.0) / top for name, method in methods.items()}
+        policy.places = {name: tuple(frozenset(method.get(part) or ()) or None for part in BOUND)
+                         for name, method in methods.items()}
+        policy.within = {place: [] for place in (ANY, *policy.places.values())}
+        policy.asked = {place: policy.asked.get(place) or Ring(20_000.0, 10) for place in policy.within}
+        quotas = {t["name"]: t.get("quota") or 0.0 for t in deployment.get("tenants") or []}
+        policy.quota = {name: quota / 1000.0 / policy.proxies for name, quota in quotas.items()}
+        policy.purse = {name: policy.purse.get(name) or [0.0, now] for name in policy.quota}
+        policy._refresh(now)
+
+    def still(self, now: float, rpc: Rpc, number: int) -> bool:
+        """Whether a transmission that was decided on is still allowed, right before it leaves."""
+        method, tx = self.policy.methods[rpc.method], rpc.sent[number]
+        cache = self.policy.caches.get(tx.cache)
+        if cache is None or not cache.within(self.policy.places[rpc.method]):
+            return cache is None
+        first = rpc.first_run()
+        return first is tx or first is None or method["repeats"] == "retriable" or \
+            (method["repeats"] == "deduped" and now < first.at + method["window"])
+
+    def soft(self, rpc: Rpc) -> float:
+        """Its soft deadline (ms)."""
+        return self.policy.methods[rpc.method]["soft_deadline"]
+
     def settled(self) -> bool:
         """Whether the limits rest on usual times that were measured."""
         return any(self.policy.typical.values())
--- a/calicofall/fleet/__main__.py
+++ b/calicofall/fleet/__main__.py
@@ -1,13 +1,16 @@
-"""The command line of settings documents: check, diff, steps, seal.
+"""The command line of settings documents: check, diff, steps, seal, publish, status.
 
-Owns how documents are named on the command line, and exit codes. Must never publish anything.
+Owns how documents are named on the command line, and exit codes. Must never publish what is wrong, or what
+may not follow the version in force.
 """
 
+import socket
 import sys
 
 import click
 import orjson
 
+from calicofall import words
 from calicofall.fleet import document, fields
 
 RIGHT, DIFFERENT, WRONG = 0, 1, 2  # exit codes
@@ -88,3 +91,57 @@
                 "lease": {"s": last.lease, "drift": last.drift, "pauseS": last.pause}, "settings": one}
         version += 1
         click.echo(orjson.dumps(document.sealed(data)).decode())
+
+
+def call(address: str, data: bytes) -> bytes:
+    """One question to an address, and all that comes back."""
+    try:
+        with socket.create_connection(words.place(address), timeout=5.0) as plug:
+            plug.sendall(data)
+            answer = b""
+            while part := plug.recv(65_536):
+                answer += part
+            return answer
+    except ValueError as reason:
+        raise Stop(str(reason)) from None
+    except OSError as reason:
+        raise Stop(f"{address}: {reason.strerror or reason}") from None
+
+
+@settings.command()
+@click.argument("file", type=click.Path(dir_okay=False))
+@click.option("--source", required=True, help="The address that serves the settings.")
+@click.option("--after", type=click.Path(dir_okay=False), help="The version in force, which it is to follow.")
+def publish(file: str, source: str, after: str | None) -> None:
+    """Publishes a document. Exit: 0 taken, 1 another was published first or it may not follow, 2 wrong."""
+    one = load(file)
+    for reason in (document.follows(load(after), one) if after else []):
+        click.echo(f"{file}: {reason}")
+        sys.exit(DIFFERENT)
+    with open(file, "rb") as data:
+        body = orjson.dumps(orjson.loads(data.read()))
+    answer = call(source, b"POST /api/settings HTTP/1.1\r\nHost: %b\r\nContent-Type: application/json\r\n"
+                  b"Connection: close\r\nContent-Length: %d\r\n\r\n%b" % (source.encode(), len(body), body))
+    status = answer.split(b" ")[1:2]
+    if status == [b"409"]:
+        click.echo(f"{source}: version {one.after} is not the latest any more: another was published first")
+        sys.exit(DIFFERENT)
+    if status not in ([b"200"], [b"201"], [b"204"]):
+        raise Stop(f"{source}: answered {answer[:60].decode(errors='replace')!r}")
+    click.echo(f"{source}: version {one.version} published")
+
+
+@settings.command()
+@click.argument("addresses", nargs=-1, required=True)
+def status(addresses: tuple[str, ...]) -> None:
+    """What proxies act on, by their management addresses. Exit: 0 all on one version, 1 not, 2 no answer."""
+    seen = set()
+    for address in addresses:
+        lines = call(address, b"versions\n").decode(errors="replace").splitlines()
+        figures = dict(line.removeprefix("settings.").partition(":")[::2] for line in lines[1:-1])
+        if not lines or not lines[0].startswith("+OK") or "held" not in figures:
+            raise Stop(f"{address}: {lines[0] if lines else 'nothing'}: no versions there")
+        seen.add((figures["held"], figures["leased"], figures["digest"]))
+        click.echo(f"{address}: in effect {figures['in_effect']}, held {figures['held']}, leased "
+                   f"{figures['leased']} ({figures['lease_left_s']} s), D {figures['bound_s']} s")
+    sys.exit(RIGHT if len(seen) == 1 and all(leased == "1" for _, leased, _ in seen) else DIFFERENT)
--- a/calicofall/fleet/fields.py
+++ b/calicofall/fleet/fields.py
@@ -127,6 +127,17 @@
     return out
 
 
+OURS = {"zones_open": "failureDomainsOnly", "kinds_open": "kindsOpen", "repeats": "effect",
+        "window": "windowNs", "group": "group", "hard_deadline": "hardDeadlineNs"}  # in the module's words
+ORDERS["repeats"] = ("retriable", "deduped", "non-retriable")
+
+
+def between(one: dict, other: dict) -> dict:
+    """The method, in the module's words, that two versions allow together: for an RPC taken under `one`."""
+    return other | {ours: value for ours, theirs in OURS.items() if (value := lesser(
+        ours, METHOD[theirs], one.get(ours), other.get(ours))) is not None}
+
+
 def closed(method: dict) -> bool:
     """Whether there is no place left for a method."""
     return any(method.get(name) == [CLOSED] for name in ("kindsOpen", "failureDomainsOnly"))
--- a/calicofall/net/caches.py
+++ b/calicofall/net/caches.py
@@ -78,7 +78,7 @@
         if (plug := self.transport.get_extra_info("socket")) is not None:
             self.eye = poll()
             self.eye.register(plug.fileno(), POLLIN)
-        for sending in self.queue:
+        for sending in list(self.queue):
             self._put(sending)
         if not self.queue:
             self.rest()
@@ -90,6 +90,13 @@
             self._put(sending)
 
     def _put(self, sending: Sending) -> None:
+        # Guards against settings that changed, or were no longer proved, while it waited for its connection.
+        if not self.pool.caches.may(sending):
+            self.queue.remove(sending)
+            self.pool.caches.loop.call_soon(self.pool.caches.done, sending, "held")
+            if not self.queue and self.up:
+                self.rest()
+            return
         sending.end = self.written + sum(map(len, sending.data))
         self.unsent.append(sending.end)
         for piece in sending.data:
@@ -317,6 +324,7 @@
                  open: Callable, taker: Callable, bound: Callable, outcome: Callable,
                  figures: Figures, shares: Shares, wall: float) -> None:
         self.shares, self.wall = shares, wall  # our parts of what caches bear; s to the common clock
+        self.may: Callable[[Sending], bool] = lambda sending: True  # looked at right before it leaves
         self.entries: dict[str, tuple] = {}  # the list as it was told
         self.loop, self.most, self.open, self.outcome = loop, max(1, most), open, outcome
         self.taker, self.bound, self.figures = taker, bound, figures
--- a/calicofall/net/discovery.py
+++ b/calicofall/net/discovery.py
@@ -37,7 +37,7 @@
     def opened(self) -> None:
         self.discovery.phase("list asked")
         since = f"&since={self.discovery.since}" if self.discovery.since is not None else ""
-        self.write(f"GET /api/targets?follow=1{since} HTTP/1.1\r\nHost: {self.discovery.host}\r\n"
+        self.write(f"GET {self.discovery.path}?follow=1{since} HTTP/1.1\r\nHost: {self.discovery.host}\r\n"
                    "Accept: application/json\r\n\r\n".encode())
 
     def came(self) -> None:
@@ -109,7 +109,7 @@
                 self.discovery.answers()  # nothing has changed
             else:
                 try:
-                    self.discovery.told(*words.listing(orjson.loads(line)))
+                    self.discovery.line_came(line)
                 except ValueError as reason:
                     raise Wrong(f"no list: {str(reason)[:60]}") from None
 
@@ -120,6 +120,8 @@
 class Discovery:
     """Keeps a watch open, whatever becomes of it. `line` says when to ask."""
 
+    path, what = "/api/targets", "list"
+
     def __init__(self, loop: asyncio.AbstractEventLoop, open: Callable, address: str, since: int | None,
                  line: Line, news: Callable, failed: Callable, phase: Callable) -> None:
         self.loop, self.open, self.line, self.news, self.failed = loop, open, line, news, failed
@@ -182,12 +184,15 @@
         """Whether the watch is up, and has said something."""
         return self.heard and not self.down
 
+    def line_came(self, line: bytes) -> None:
+        self.told(*words.listing(orjson.loads(line)))
+
     def told(self, kind: str, index: int | None, entries: list[tuple], addresses: dict[str, str]) -> None:
         self.line.served()
         self.answers()
         if self.down:
             self.down = False
-            log.info("list watch back", extra={"index": index})
+            log.info(f"{self.what} watch back", extra={"index": index})
         # Guards against changes older than what is known, which bring back caches that drain or have gone.
         if kind == "delta" and isinstance(index, int) and self.since is not None and index < self.since:
             log.warning("older changes ignored", extra={"index": index, "known": self.since})
@@ -201,7 +206,7 @@
         fresh = not self.down and self.heard
         if not self.down:
             self.down = True
-            log.warning("list watch lost", extra={"reason": watch.why, "index": self.since})
+            log.warning(f"{self.what} watch lost", extra={"reason": watch.why, "index": self.since})
         self.failed()
         if watch.refused:
             # An agent that refuses has nothing to tell: who has a list goes on by it.
--- a/calicofall/net/figures.py
+++ b/calicofall/net/figures.py
@@ -16,7 +16,8 @@
         self.sends = 0
 
     def answered(self, answer: str, method: str) -> None:
-        self.answers[answer][method] += 1
+        counts = self.answers[answer]
+        counts[method] = counts.get(method, 0) + 1
 
     def totals(self) -> dict[str, int]:
         return {answer: sum(counts.values()) for answer, counts in self.answers.items()}
--- a/calicofall/net/peers.py
+++ b/calicofall/net/peers.py
@@ -1,6 +1,6 @@
-"""The address where starting proxies ask each other who stands in line.
+"""The address where proxies ask each other: who stands in line, which versions are known.
 
-Owns one datagram socket and the sample that is out. Must never decide what a sample means, answer what is
+Owns one datagram socket and the sample that is out. Must never decide what an answer means, answer what is
 mangled or of another fleet, or send to a peer more than one datagram for each of its own.
 """
 
@@ -21,6 +21,7 @@
                  places: list[tuple[str, int]], served: Callable[[], bool]) -> None:
         self.loop, self.crowd, self.fleet, self.life, self.places = loop, crowd, fleet, life, places
         self.served = served
+        self.versions: Callable[[talk.Say], None] | None = None  # who hears of versions
         self.transport: asyncio.DatagramTransport | None = None
         self.then: Callable[[float], None] | None = None  # who waits for the sample
         self.timer: asyncio.TimerHandle | None = None
@@ -54,7 +55,7 @@
             self.timer.cancel()
             then(part)
 
-    def say(self, peer: int, word: talk.Word) -> None:
+    def say(self, peer: int, word: talk.Word | talk.Say) -> None:
         if self.transport is not None and not self.transport.is_closing():
             self.transport.sendto(talk.write(self.fleet, word), self.places[peer])
 
@@ -64,7 +65,10 @@
         except talk.Mangled as reason:
             self.drop(str(reason))
             return
-        if word.asks:
+        if isinstance(word, talk.Say):
+            if self.versions is not None:
+                self.versions(word)
+        elif word.asks:
             self.say(word.sender, talk.Word(False, self.crowd.me, self.life, word.mark, self.served()))
         elif self.crowd.told(word.mark, word.sender, word.served):
             self.look()
--- a/calicofall/net/proxy.py
+++ b/calicofall/net/proxy.py
@@ -20,8 +20,9 @@
 
 from calicofall import words
 from calicofall.facade import Router
+from calicofall.fleet.document import OWN
 from calicofall.holds import broken, holds
-from calicofall.net import resp
+from calicofall.net import resp, versions
 from calicofall.net.caches import Caches, Sending
 from calicofall.net.clients import Clients, Turn
 from calicofall.net.discovery import Discovery
@@ -68,7 +69,9 @@
     def __init__(self, node: dict, loop: asyncio.AbstractEventLoop, open: Callable = connect) -> None:
         self.node, self.loop = node, loop
         self.offset = time.time() * 1000.0 - loop.time() * 1000.0  # one clock for lists and timers
-        settings, lines = words.on_sockets(node["settings"])
+        document = versions.first(node)
+        own = {name: value for name, value in node["settings"].items() if name in OWN}
+        settings, lines = words.on_sockets(node["settings"] if document is None else document.settings | own)
         for line in lines:
             log.info(line)
         deployment = words.deployment(settings)
@@ -83,6 +86,7 @@
         self.shares = Shares(me, proxies, self.starts.get("handshakes"), self.starts.get("connections"),
                              self.starts.get("bears"), deployment["rules"].get("fall_multiple"))
         self.router = Router(deployment | {"bears": self.shares.bears}, seed, self.now())
+        self.versions: versions.Versions | None = None
         self.patience = max([m["hard_deadline"] for m in self.methods.values()], default=3000.0) / 1000.0
         # Guards against many proxies that each hold connections to every cache, and together make their
         # handshakes at once after a start: a herd of fourteen opened 1,050, twice what it used.
@@ -129,6 +133,12 @@
             _, index, entries, addresses = words.listing(known)
             self.news("cached", index, entries, addresses)
             self.router.relearn(self.now(), self.learned)
+        if document is not None:
+            self.versions = versions.Versions(
+                loop, open, node["discovery"], me, self.peers.life, own, document, chance, self.peers.say,
+                self.apply)
+            self.peers.versions = self.versions.heard
+            self.caches.may = self.may
 
     def budget(self, parts: int) -> tuple[int, int, int]:
         """Connections, those to caches at most, bytes of commands in hand: of one of so many processes."""
@@ -186,6 +196,23 @@
             self.router.listed(self.now(), "failed", None, [])
             self.soon()
 
+    # Versions of the settings
+
+    def apply(self, settings: dict) -> None:
+        """Other settings, whole, from the next RPC on."""
+        deployment = words.deployment(words.on_sockets(settings)[0])
+        self.methods = {method["name"]: method for method in deployment["methods"]}
+        self.tenants = {tenant["name"] for tenant in deployment.get("tenants") or []}
+        for name in self.methods:
+            self.times.setdefault(name, HdrHistogram(1, 60_000, 2))
+        self.router.apply(self.now(), deployment)
+        self.soon()
+
+    def may(self, sending: Sending) -> bool:
+        self.versions.current()
+        rpc = sending.owner.rpc
+        return rpc.over or self.router.still(self.now(), rpc, sending.number)
+
     # The life of an RPC
 
     def ask(self, turn: Turn, parts: list[bytes]) -> None:
@@ -197,6 +224,8 @@
             turn.client.wrong(turn, str(reason))
             return
         turn.client.faults = 0
+        if self.versions is not None:
+            self.versions.current()
         self.open.add(parts[2])
         now = self.now()
         method = self.methods[fields["method"]]
@@ -223,7 +252,7 @@
         if cache is not None:
             holds(not rpc.over and now < rpc.until, "nothing is sent for an RPC that is over")
             data = resp.pieces(words.passed_on(call.parts, rpc.time_out))
-            soft = rpc.arrived + self.methods[rpc.method]["soft_deadline"] - now
+            soft = rpc.arrived + self.router.soft(rpc) - now
             call.sending = self.caches.send(cache, call, len(rpc.sent) - 1, data, now, rpc.time_out,
                                             rpc.until - now, soft)
         elif rpc.answer == "exhausted":
@@ -237,10 +266,10 @@
         holds(turn is not None, "an RPC gets one answer")
         self.over(call)
         if turn is not None:
-            self.figures.answered(rpc.answer, rpc.method)
+            self.figures.answered(rpc.answer, rpc.name)
             if rpc.answer == "completed" and "first RPC" not in self.phases.reached:
                 self.reach("first RPC")
-            self.times[rpc.method].record_value(max(1, round((call.began or now) - rpc.arrived)))
+            self.times[rpc.name].record_value(max(1, round((call.began or now) - rpc.arrived)))
             turn.give(data)
 
     def taker(self, sending: Sending, size: int, more: Callable[[], None]) -> Turn | None:
@@ -269,7 +298,7 @@
             self.answer(now, call, answer + b"\r\n" if bound else resp.bulk(answer))
         elif not over and bound:  # guards against a value cut short that could pass for a whole one
             rpc.answer, call.turn = "errored", None
-            self.figures.answered(rpc.answer, rpc.method)
+            self.figures.answered(rpc.answer, rpc.name)
             self.over(call)
             turn.spoil()
         elif not over:
@@ -356,13 +385,15 @@
         finally:
             self.lease.release()
             self.management.close()
-            for part in (self.peers, self.keep):
+            for part in (self.versions, self.peers, self.keep):
                 if part is not None:
                     part.close()
 
     async def run(self) -> None:
         if self.peers is not None:
             await self.peers.open(self.starts["speak"])
+        if self.versions is not None:
+            self.versions.start()
         if self.keep is not None:
             self.keep.start()
         self.discovery.start()
@@ -398,7 +429,7 @@
         except Exception as reason:  # guards against a proxy that ends, or half changes, for a bad file
             log.warning("configuration kept", extra={"reason": str(reason)})
             return
-        held = [name for name in ("name", "listen", "mgmt", "limits", "settings", "start")
+        held = [name for name in ("name", "listen", "mgmt", "limits", "settings", "start", "document")
                 if node.get(name) != self.node.get(name)]
         self.discovery.move(node["discovery"])
         log.info("configuration reread", extra={"discovery": node["discovery"],
@@ -419,6 +450,8 @@
             return "\n".join([SAID_OK, *self.figures.lines(), "."])
         if name == "phases":
             return "\n".join([SAID_OK, *self.phases.lines(), "."])
+        if name == "versions" and self.versions is not None:
+            return "\n".join([SAID_OK, *self.versions.lines(), "."])
         if name == "quiesce":
             if self.door is None:
                 return f"{SAID_NO} {self.state()}"
--- a/calicofall/rpc.py
+++ b/calicofall/rpc.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass, field
 
 # Outcomes of a transmission that prove it never ran; every other one, and none yet, may have run.
+MARK = "\0"  # between a method's name and the versions under which it was taken
 NOT_RUN = frozenset({"full", "unconnected", "moot", "held", "missed"})
 
 
@@ -38,6 +39,11 @@
     come_back: float = 0.0  # when the client may ask again (ms), where exhausted
     time_out: float = 0.0  # how long the last transmission is waited for (ms)
 
+    @property
+    def name(self) -> str:
+        """Its method as clients name it: taken under an earlier version, it stands under another name."""
+        return self.method.partition(MARK)[0]
+
     def first_run(self) -> Transmission | None:
         """The first transmission that may have run."""
         return next((tx for tx in self.sent if tx.may_have_run()), None)
--- a/calicofall/stage/drill.py
+++ b/calicofall/stage/drill.py
@@ -33,6 +33,8 @@
     speak: bool = False  # proxies ask each other who stands in line
     told: bool = True  # the operators' file tells the room of the list service and of the caches
     snapshot: bool = False  # proxies keep one
+    versions: bool = False  # settings by documents, on which the proxies agree
+    lease_s: Annotated[float, Field(ge=0.5)] = 2.0
     memory_mb: Annotated[int, Field(ge=32)] = 64
     sockets: Annotated[int, Field(ge=64)] = 256
 
@@ -111,6 +113,7 @@
 class ServiceEvent(Timed):
     do: Literal["service_down", "service_silent", "service_late", "service_restart", "service_room"]
     amount: From0 = 0.0  # s late, the first version after a restart, room
+    older: Annotated[int, Field(ge=0)] = 0  # documents that a restarted service has forgotten
 
 
 class CacheEvent(Timed):
@@ -119,7 +122,13 @@
     amount: From0 = 0.0
 
 
-Event = Annotated[ProcessEvent | LinkEvent | ServiceEvent | CacheEvent, Field(discriminator="do")]
+class VersionEvent(Timed):
+    do: Literal["publish"]  # a document that binds the non-retriable method to these zones
+    zones: Annotated[str, Field(pattern=r"^[a-h]+$")]
+
+
+Event = Annotated[ProcessEvent | LinkEvent | ServiceEvent | CacheEvent | VersionEvent,
+                  Field(discriminator="do")]
 
 
 class Must(Part):
@@ -131,6 +140,7 @@
     connections: Count | None = None  # held at any cache
     fetches: Count | None = None  # asked of the origin at one time
     list_before_door: bool = True  # no proxy says yes before it was told a list
+    settled_s: Over0 | None = None  # a version forbids for all so long after a majority was handed it
     served: Share | None = None  # of the RPCs of the last third, completed in time
     serves_all_s: Over0 | None = None  # by when all proxies say yes
 
@@ -153,6 +163,8 @@
         for event in self.event:
             if event.at >= self.seconds:
                 raise ValueError(f"an event at {event.at:g} s comes after the end, {self.seconds:g} s")
+        if self.fleet.versions and not self.fleet.speak:
+            raise ValueError("fleet.speak has to be true where fleet.versions is")
         if self.cache.connections < self.fleet.proxies and self.fleet.told:
             raise ValueError(f"cache.connections is under the number of proxies, {self.fleet.proxies}")
         return self
--- a/calicofall/stage/play.py
+++ b/calicofall/stage/play.py
@@ -18,11 +18,12 @@
 
 import orjson
 
+from calicofall.fleet.document import KEEPERS, OWN, sealed
 from calicofall.stage.clients import Clients
 from calicofall.stage.drill import Drill, names
 from calicofall.stage.links import Fault, Links
 from calicofall.stage.models import Cache, Origin, Service
-from calicofall.stage.records import Life, Records
+from calicofall.stage.records import Life, Published, Records
 from calicofall.stage.referee import Verdict, judge
 from calicofall.stage.wires import CacheStand, Relay, ServiceStand, Wire, address
 
@@ -119,6 +120,10 @@
                 stand.model.start(now)
                 self.records.cold[name] = [now]
             model.put(self.entry(name, since=wall if cache.cold else 0.0))
+        self.records.zones = {name: self.entry(name)["zone"] for name in self.caches}
+        if fleet.versions:
+            self.service.documents.append(self.document(1, ZONES[:fleet.zones]))
+            self.records.published.append(Published(now, 1, ZONES[:fleet.zones]))
         self.relays, self.speaks = [], []
         if fleet.speak:
             self.speaks = ports(fleet.proxies, socket.SOCK_DGRAM)
@@ -139,11 +144,21 @@
         return {"name": name, "zone": zone, "type": "box", "group": 0, "status": status, "weight": 1.0,
                 "since_ms": since_ms}
 
+    def document(self, version: int, zones: str) -> dict[str, Any]:
+        """The settings as a document in which the non-retriable method is bound to these zones."""
+        settings = {name: value for name, value in self.settings(0).items() if name not in OWN}
+        methods = [method | ({"failureDomainsOnly": list(zones)} if method["name"] == "order" else
+                             {"keeps": ["place", "repeats"]}) for method in settings["methods"]]
+        members = list(range(self.drill.fleet.proxies))
+        return sealed({"version": version, "after": version - 1, "note": f"order in {zones}",
+                       "fleet": self.drill.name, "members": members, "keepers": members[:KEEPERS],
+                       "lease": {"s": self.drill.fleet.lease_s, "drift": 0.01, "pauseS": 0.5},
+                       "settings": settings | {"methods": methods}})
+
     # Proxies
 
-    def node(self, number: int) -> dict[str, Any]:
-        """What proxy `number` is told."""
-        drill, name = self.drill, f"p{number}"
+    def settings(self, number: int) -> dict[str, Any]:
+        drill = self.drill
         fleet, cache, traffic = drill.fleet, drill.cache, drill.traffic
 
         def method(name: str, effect: str, gain: float) -> dict[str, Any]:
@@ -151,7 +166,7 @@
                     "softDeadlineNs": round(traffic.soft_ms * 1e6), "windowNs": 5_000_000_000,
                     "hardDeadlineNs": round(traffic.hard_ms * 1e6), "streaming": False}
 
-        settings = {
+        return {
             "balancers": fleet.proxies, "me": number, "kinds": ["box"], "discovery": "push",
             "failureDomains": list(ZONES[:fleet.zones]), "zone": ZONES[number % fleet.zones],
             "overageGain": 0.1, "domain": {"mode": "through"},
@@ -164,6 +179,11 @@
             "rules": {"startCapacity": cache.cold_share, "coldNs": round(cache.cold_s * 1e9),
                       "fallMultiple": cache.fall_multiple, "fallNs": round(cache.fall_s * 1e9),
                       "drainGraceNs": 250_000_000, "askEveryNs": 10_000_000_000, "answerSlackNs": 20_000_000}}
+
+    def node(self, number: int) -> dict[str, Any]:
+        """What proxy `number` is told."""
+        drill, name = self.drill, f"p{number}"
+        fleet, cache = drill.fleet, drill.cache
         start: dict[str, Any] = {}
         if fleet.told:
             start = {"watchesPerS": drill.service.room, "connections": cache.connections,
@@ -178,8 +198,10 @@
             start["snapshot"] = str(self.folder / name)
         host, port = self.doors[name]
         node = {"name": name, "listen": f"{host}:{port}", "seed": f"{drill.seed * 1000 + number + 1:x}",
-                "discovery": f"{address(number)}:{self.service.port}", "settings": settings,
+                "discovery": f"{address(number)}:{self.service.port}", "settings": self.settings(number),
                 "limits": {"cores": 1.0, "memory_mb": fleet.memory_mb, "sockets": fleet.sockets}}
+        if fleet.versions:
+            node["document"] = self.document(1, ZONES[:fleet.zones])
         return node | ({"start": start} if start else {})
 
     async def launch_all(self) -> None:
@@ -277,7 +299,13 @@
             self.service.model.late = event.amount
         elif do == "service_room":
             self.service.model.room = event.amount
+        elif do == "publish":
+            version = max((one.version for one in self.records.published), default=0) + 1
+            self.records.published.append(Published(self.loop.time(), version, event.zones))
+            self.service.publish(self.document(version, event.zones))
         elif do == "service_restart":
+            if event.older:
+                del self.service.documents[-event.older:]
             self.service.fall()
             self.service.model.restart(int(event.amount))
             self.service.down = False
--- a/calicofall/stage/records.py
+++ b/calicofall/stage/records.py
@@ -66,6 +66,12 @@
     what: str  # asked, begun, refused
 
 
+class Published(NamedTuple):
+    at: float
+    version: int
+    zones: str
+
+
 class Hand(NamedTuple):
     """A connection to a cache begun, or ended."""
 
@@ -95,6 +101,9 @@
     answers: list[Answered] = field(default_factory=list)
     lives: list[Life] = field(default_factory=list)
     asked: list[Asked] = field(default_factory=list)
+    published: list[Published] = field(default_factory=list)
+    documents: list[tuple[float, str, int]] = field(default_factory=list)  # handed to a proxy: when, which
+    zones: dict[str, str] = field(default_factory=dict)  # of caches
     hands: list[Hand] = field(default_factory=list)
     pongs: list[tuple[float, str]] = field(default_factory=list)
     intents: list[Intent] = field(default_factory=list)
--- a/calicofall/stage/referee.py
+++ b/calicofall/stage/referee.py
@@ -91,7 +91,7 @@
 
     def judge(self) -> Verdict:
         for part in (self.one_answer, self.effects, self.drains, self.cold, self.service, self.shares,
-                     self.served, self.crashes):
+                     self.versions, self.served, self.crashes):
             part()
         self.figures |= {"lag_s": round(self.lag, 3), "waited_for_core": round(self.waited, 3),
                          "faults": [what for *_, what in self.records.faults],
@@ -297,6 +297,43 @@
         if must.fetches is not None and count > must.fetches:
             self.say("fetches", "all", at, f"{count} asked of the origin at one time, over {must.fetches}")
 
+    def versions(self) -> None:
+        """How long after a majority was handed a version a send was seen that it forbids."""
+        records, longest, judged = self.records, 0.0, 0
+        majority = self.drill.fleet.proxies // 2 + 1
+        held_at: dict[int, float] = {}
+        for version in sorted(one.version for one in records.published):
+            times = sorted({proxy: at for at, proxy, held in sorted(records.documents, reverse=True)
+                            if held >= version}.values())
+            if len(times) >= majority:
+                held_at[version] = times[majority - 1]
+        zones = {one.version: one.zones for one in records.published}
+        orders = [send for send in records.sends if send.method == "order"]
+        for send in orders:
+            binding = [version for version, at in held_at.items() if at < send.at]
+            if not binding:
+                continue
+            judged += 1
+            # Forbidden by the newest that a majority had, and by all since: when did that begin?
+            since = None
+            for version in sorted(binding, reverse=True):
+                if records.zones[send.cache] in zones[version]:
+                    break
+                since = held_at[version]
+            if since is not None:
+                longest = max(longest, send.at - since)
+                bound = self.drill.must.settled_s
+                if bound is not None and send.at - since > bound + SLACK + self.lag:
+                    self.say("versions", send.proxy, send.at, f"sent to zone {records.zones[send.cache]} "
+                             f"{send.at - since:.2f} s after a majority had the version that forbids it")
+        if records.published:
+            first = {version: [at for at, _, held in records.documents if held >= version]
+                     for version in held_at}
+            self.figures |= {"versions": len(records.published), "orders_judged": judged,
+                             "forbidden_longest_s": round(longest, 3),
+                             "handed_last_s": round(max((max(times) - min(times)
+                                                         for times in first.values()), default=0.0), 2)}
+
     def served(self) -> None:
         soft = self.drill.traffic.soft_ms / 1000.0
         kinds = Counter(answer.kind for answer in self.records.answers)
--- a/calicofall/stage/wires.py
+++ b/calicofall/stage/wires.py
@@ -248,6 +248,7 @@
         self.plug = listener(socket.SOCK_STREAM)
         self.port = self.plug.getsockname()[1]
         self.watches: set[ServiceWire] = set()
+        self.documents: list[dict] = []  # of the settings, by version
         self.down = self.silent = False
         self.beat()
 
@@ -258,7 +259,7 @@
         """An empty line to every watch while nothing changes."""
         if not self.silent:
             for watch in self.watches:
-                watch.line(b"\n", None)
+                watch.line(b"\n", None)  # also on those on settings
         self.stage.loop.call_later(BEAT, self.beat)
 
     def listing(self, proxy: str, message: dict) -> bytes:
@@ -274,9 +275,14 @@
         self.stage.loop.call_later(self.model.late, self.tell, message)
 
     def tell(self, message: dict) -> None:
-        for watch in list(self.watches):
+        for watch in [watch for watch in self.watches if not watch.settings]:
             watch.news(message)
 
+    def publish(self, one: dict) -> None:
+        self.documents.append(one)
+        for watch in [watch for watch in self.watches if watch.settings]:
+            watch.document(one)
+
     def fall(self) -> None:
         self.down = True
         for wire in [wire for wire in self.stage.wires if wire.other == "list"]:
@@ -293,6 +299,7 @@
     def __init__(self, stage: Stage, stand: ServiceStand) -> None:
         super().__init__(stage, "list")
         self.stand, self.head, self.wants, self.begun = stand, b"", None, False
+        self.settings = False  # a watch on the settings, not on the list
         self.kept: list[dict] = []  # news while the service is silent
 
     def made(self) -> None:
@@ -301,13 +308,30 @@
 
     def took(self, at: float, data: bytes, _note: Any) -> None:
         self.head += data
-        if b"\r\n\r\n" in self.head and self.wants is None:
+        if self.head.startswith(b"POST"):
+            self.posted()
+        elif b"\r\n\r\n" in self.head and self.wants is None:
             path = self.head.split(b" ")[1].decode()
             since = path.partition("since=")[2].partition("&")[0]
+            self.settings = path.startswith("/api/settings")
             self.wants = int(since) if since.isdigit() else -1
-            self.stage.records.asked.append(Asked(at, self.proxy, "asked"))
+            if not self.settings:
+                self.stage.records.asked.append(Asked(at, self.proxy, "asked"))
             self.heed()
 
+    def posted(self) -> None:
+        """A document is published: the one that follows the latest is taken."""
+        head, ended, body = self.head.partition(b"\r\n\r\n")
+        size = int(head.lower().partition(b"content-length:")[2].split(b"\r\n")[0] or 0)
+        if ended and len(body) >= size:
+            one, latest = orjson.loads(body), self.stand.documents[-1:]
+            taken = one["after"] == (latest[0]["version"] if latest else 0) and not self.stand.silent
+            if taken:
+                self.stand.publish(one)
+            said = b"200 OK" if taken else b"409 Conflict"
+            self.say(b"HTTP/1.1 %b\r\nContent-Length: 0\r\n\r\n" % said)
+            self.transport.close()
+
     def heed(self) -> None:
         if self.stand.silent or self.over or self.wants is None:
             return
@@ -317,6 +341,10 @@
             self.kept.clear()
             return
         now = self.stage.loop.time()
+        if self.settings:
+            self.begun = True
+            self.begin()
+            return
         begins = self.stand.model.ask(now)
         if begins is None:
             self.stage.records.asked.append(Asked(now, self.proxy, "refused"))
@@ -331,9 +359,15 @@
     def begin(self) -> None:
         if self.over:
             return
-        self.stage.records.asked.append(Asked(self.stage.loop.time(), self.proxy, "begun"))
+        if not self.settings:
+            self.stage.records.asked.append(Asked(self.stage.loop.time(), self.proxy, "begun"))
         self.say(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
         self.stand.watches.add(self)
+        if self.settings:
+            for one in self.stand.documents:
+                if one["version"] > self.wants:
+                    self.document(one)
+            return
         self.news(self.stand.model.since(self.wants if self.wants >= 0 else None))
 
     def news(self, message: dict) -> None:
@@ -343,15 +377,21 @@
         told = tuple((entry["name"], entry["status"]) for entry in message["endpoints"])
         self.line(self.stand.listing(self.proxy, message), (told, message["snapshot"]))
 
+    def document(self, one: dict) -> None:
+        self.line(orjson.dumps(one) + b"\n", one["version"])
+
     def line(self, data: bytes, note: Any) -> None:
         self.say(b"%x\r\n%b\r\n" % (len(data), data), note)
 
-    def departed(self, note: tuple) -> None:
+    def departed(self, note: tuple | int) -> None:
+        if isinstance(note, int):
+            self.stage.records.documents.append((self.stage.loop.time(), self.proxy, note))
+            return
         self.stage.records.told.append(Told(self.stage.loop.time(), self.proxy, *note))
 
     def lost(self) -> None:
         self.stand.watches.discard(self)
-        if self.begun:
+        if self.begun and not self.settings:
             self.stand.model.ended()
 
 
--- a/calicofall/start/talk.py
+++ b/calicofall/start/talk.py
@@ -1,4 +1,4 @@
-"""What starting proxies say to each other: one question, one answer, in a datagram each.
+"""What proxies say to each other: one question, one answer, in a datagram each.
 
 Owns the bytes. Must never raise on bytes of any kind but Mangled, or let pass what is of another fleet,
 another version, or does not match its digest. A peer's word is a hint: it moves a try's time, and no list.
@@ -10,6 +10,8 @@
 
 import orjson
 
+from calicofall.fleet.agreement import Word as Say
+
 VERSION, LARGEST = 1, 512  # bytes
 
 
@@ -27,24 +29,30 @@
     served: bool
 
 
-def write(fleet: str, word: Word) -> bytes:
-    body = orjson.dumps([VERSION, fleet, *word])
+KINDS = (Word, Say)  # who stands in line; which versions are known
+
+
+def write(fleet: str, word: Word | Say) -> bytes:
+    body = orjson.dumps([VERSION, fleet, KINDS.index(type(word)), *word])
     return blake2b(body, digest_size=8).digest() + body
 
 
-def read(data: bytes, fleet: str, proxies: int) -> Word:
+def read(data: bytes, fleet: str, proxies: int) -> Word | Say:
     if not 8 < len(data) <= LARGEST or blake2b(data[8:], digest_size=8).digest() != data[:8]:
         raise Mangled("digest")
     try:
-        version, name, *fields = orjson.loads(data[8:])
-        word: Any = Word(*fields)
-    except (ValueError, TypeError):
+        version, name, kind, *fields = orjson.loads(data[8:])
+        word: Any = KINDS[kind](*fields)
+    except (ValueError, TypeError, IndexError):
         raise Mangled("form") from None
     if version != VERSION:
         raise Mangled("version")
     if name != fleet:
         raise Mangled("fleet")
-    whole = all(type(number) is int and number >= 0 for number in (word.sender, word.life, word.mark))
-    if not whole or type(word.asks) is not bool or type(word.served) is not bool or word.sender >= proxies:
+    for field, kind in type(word).__annotations__.items():
+        value = getattr(word, field)
+        if type(value) is not kind or value < 0:
+            raise Mangled("form")
+    if word.sender >= proxies:
         raise Mangled("form")
     return word
--- a/tests/rogues.py
+++ b/tests/rogues.py
@@ -91,9 +91,19 @@
     Policy._room = lambda self, now, limit, rpc: True
 
 
+def ignores_its_lease() -> None:
+    """What it was allowed once it goes on doing, cut off or stopped."""
+    from calicofall.fleet.agreement import Agreement
+    from calicofall.net import versions
+
+    until = Agreement.leased_until
+    Agreement.leased_until = lambda self, now: max(until(self, now), now + 100.0 if self.effect else 0.0)
+    versions.Versions.current = lambda self: None
+
+
 ROGUES = {name.__name__: name for name in (
     answers_twice, answers_never, asks_at_once, makes_up_for_turns, opens_without_list, sends_after_drain,
-    two_out, opens_beyond_share, floods_cold)}
+    two_out, opens_beyond_share, floods_cold, ignores_its_lease)}
 
 if __name__ == "__main__":
     from calicofall.__main__ import main
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -1,9 +1,11 @@
 """Settings documents: what binds, how changes are made in steps, and wrong ones in one line."""
 
 import json
+import socket
 from itertools import product
 from pathlib import Path
 from random import Random
+from threading import Thread
 
 import pytest
 from click.testing import CliRunner
@@ -180,6 +182,47 @@
         assert any(word in reason for reason in found), (changes, found)
 
 
+def served(*answers: bytes) -> tuple[str, list[bytes]]:
+    """An address that answers one connection after the other; what it was asked."""
+    asked: list[bytes] = []
+    plug = socket.create_server(("127.0.0.1", 0))
+
+    def serve() -> None:
+        for answer in answers:
+            link, _ = plug.accept()
+            asked.append(link.recv(65_536))
+            link.sendall(answer)
+            link.close()
+        plug.close()
+
+    Thread(target=serve, daemon=True).start()
+    return f"127.0.0.1:{plug.getsockname()[1]}", asked
+
+
+def test_two_publishers_at_once_one_wins_and_the_other_is_told(tmp_path: Path) -> None:
+    file, run = tmp_path / "new.json", CliRunner()
+    file.write_text(text(3, 2))
+    source, asked = served(*(b"HTTP/1.1 %b\r\n\r\n" % said for said in (b"200 OK", b"409 No", b"500 No")))
+    codes = [run.invoke(main, ["settings", "publish", str(file), "--source", source]) for _ in range(3)]
+    assert [code.exit_code for code in codes] == [0, 1, 2] and "published first" in codes[1].output
+    assert b"POST /api/settings" in asked[0]
+    assert document.read(asked[0].partition(b"\r\n\r\n")[2]).version == 3
+    file.write_text(text(3, 2, sealed=False))
+    assert run.invoke(main, ["settings", "publish", str(file), "--source", source]).exit_code == 2
+
+
+def test_status_says_whether_all_act_on_one_version(tmp_path: Path) -> None:
+    def told(held: str, leased: int = 1) -> bytes:
+        return (f"+OK\nsettings.in_effect:{held[0]}\nsettings.held:{held}\nsettings.leased:{leased}\n"
+                f"settings.lease_left_s:1.2\nsettings.bound_s:2.5\nsettings.digest:ab\n.\n").encode()
+
+    run = CliRunner()
+    for answers, code in (((told("3"), told("3")), 0), ((told("3"), told("3,4")), 1), ((told("3", 0),), 1),
+                          ((b"-ERR unknown call\n",), 2)):
+        places = [served(answer)[0] for answer in answers]
+        assert run.invoke(main, ["settings", "status", *places]).exit_code == code
+
+
 def test_the_command_line_tells_differences_and_steps_by_exit_codes(tmp_path: Path) -> None:
     old, new = tmp_path / "old.json", tmp_path / "new.json"
     old.write_text(text(settings=settings(read={"failureDomainsOnly": ["a"]})))
--- a/tests/test_stage.py
+++ b/tests/test_stage.py
@@ -318,6 +318,38 @@
         assert not verdict.void and rule in {finding.rule for finding in verdict.findings}, rogue
 
 
+AGREEING = {
+    "name": "agreeing", "seconds": 19.0, "service": {"room": 50.0}, "cache": {"cold": False},
+    "fleet": {"proxies": 8, "caches": 6, "speak": True, "versions": True, "lease_s": 2.0},
+    "traffic": {"per_s": 80.0, "orders": 0.5}, "event": [
+        {"at": 5.0, "do": "publish", "zones": "a"},
+        {"at": 6.5, "do": "publish", "zones": "ab"},
+        {"at": 8.0, "until": 15.0, "do": "cut", "who": "p0,p1", "to": "proxies,list"},
+        {"at": 8.1, "until": 14.0, "do": "stop", "who": "p3"},
+        {"at": 8.2, "do": "publish", "zones": "b"},  # while the leases of those that are cut off run
+        {"at": 11.0, "do": "restart", "who": "p5"}, {"at": 12.0, "until": 12.6, "do": "service_down"},
+        {"at": 12.5, "do": "service_restart", "older": 2}],
+    "must": {"settled_s": 2.0 * 1.01 ** 2 + 0.5, "served": 0.5}}  # D: lease, drift, pause
+
+
+def test_processes_agree_on_versions_through_cuts_stops_restarts_and_a_service_that_forgets(
+        tmp_path: Path) -> None:
+    """No order goes to a zone that a version forbids later than D after a majority was handed it."""
+    verdict, records = play(drill.read(AGREEING, "agreeing"), tmp_path)
+    assert verdict.word == "passed", (verdict.void, verdict.findings[:5])
+    assert verdict.figures["versions"] == 4 and verdict.figures["orders_judged"] > 100
+    assert 0.5 < verdict.figures["forbidden_longest_s"] <= 2.0 * 1.01 ** 2 + 0.5
+    late = [send for send in records.sends if send.method == "order" and send.at > records.began + 15.0]
+    assert {records.zones[send.cache] for send in late} == {"b"}  # what was agreed on before goes on
+
+
+def test_a_proxy_that_ignores_its_lease_is_found(tmp_path: Path) -> None:
+    os.environ["PYTHONPATH"] = str(ROGUES.parent.parent)
+    rogue = [sys.executable, str(ROGUES), "ignores_its_lease", "serve"]
+    verdict, _ = play(drill.read(AGREEING, "agreeing"), tmp_path, commands={0: rogue, 3: rogue})
+    assert {finding.proxy for finding in verdict.findings if finding.rule == "versions"} == {"p0", "p3"}
+
+
 def test_results_are_kept_shown_and_drawn(tmp_path: Path) -> None:
     records = seen()
     report.keep(tmp_path, small(), judge(small(), records), records)
--- /dev/null
+++ b/tests/test_versions.py
@@ -0,0 +1,182 @@
+"""Versions at one proxy: applied live and whole, by a lease that is looked at as late as can be."""
+
+from typing import Any
+
+import pytest
+from helpers import SETTINGS, Desk, Wire, ask, endpoint, reply
+
+from calicofall.fleet import document
+from calicofall.fleet.agreement import Word
+from calicofall.start import talk
+
+OWN = {name: value for name, value in SETTINGS.items() if name not in document.OWN}
+
+
+def paper(version: int, proxies: int = 2, **changes: dict) -> dict[str, Any]:
+    """A document; `changes` by method."""
+    methods = [method | {"keeps": ["place", "repeats"] if method["name"] == "read" else []} |
+               changes.get(method["name"], {}) for method in OWN["methods"]]
+    members = list(range(proxies))
+    return document.sealed({"version": version, "after": version - 1, "note": "", "fleet": "shop",
+                            "members": members, "keepers": members, "lease": {"s": 2.0, "drift": 0.01},
+                            "settings": OWN | {"methods": methods, "kinds": ["box"], "balancers": proxies,
+                                               "failureDomains": ["a", "b"]}})
+
+
+class Agreed(Desk):
+    """A proxy of three whose two peers answer by hand."""
+
+    def __init__(self, **changes: dict) -> None:
+        self.first = paper(1, 3, **changes)
+        super().__init__()
+        self.said: list[tuple[int, Word]] = []
+        self.versions = self.proxy.versions
+        self.versions.say = lambda peer, word: self.said.append((peer, word))
+        self.versions.start()
+        self.loop.opened.clear()
+        self.versions.source.stop()  # the source's words come by hand
+        self.known = self.held = self.effect = 1
+
+    def node(self, *values: int, **settings: object) -> dict:
+        peers = [f"10.0.0.{number}:7946" for number in range(1, 4)]
+        return Desk.node(*values, **settings) | {
+            "document": self.first, "settings": OWN | {"balancers": 3, "me": 0, "zone": "a"},
+            "start": {"fleet": "shop", "speak": peers[0], "peers": peers, "watchesPerS": 100.0}}
+
+    def go_on(self, span: float, answers: bool = True) -> "Agreed":
+        """Time goes on, and peers answer what they are asked."""
+        for _ in range(round(span / 0.1)):
+            self.loop.run(0.1)
+            said, self.said = self.said, []
+            for peer, word in said:
+                if answers and word.asks:
+                    self.versions.heard(Word(False, peer, 40 + peer, word.mark, self.known, self.held,
+                                             self.effect, True))
+        return self
+
+    def publish(self, version: int, **changes: dict) -> None:
+        import orjson
+
+        self.versions.told(orjson.dumps(paper(version, 3, **changes)))
+
+    def ask(self, method: str, key: int = 7) -> tuple[Any, bytes]:
+        client = self.client()
+        client.feed(ask(method, key))
+        self.loop.run()
+        return client, client.take()
+
+
+def test_a_new_life_does_what_promises_allow_and_the_rest_once_its_version_is_proved() -> None:
+    desk = Agreed().spacious()
+    client, said = desk.ask("read")
+    assert not said and desk.loop.opened  # a method that keeps its place and repeats goes on
+    assert desk.ask("order")[1].startswith(b"-BUSY")
+    desk.go_on(4.0)
+    opened = len(desk.loop.opened)
+    assert desk.versions.standing.leased and not desk.ask("order", 8)[1] and len(desk.loop.opened) > opened
+    assert "settings.leased:1" in desk.proxy.call("versions")
+
+
+def test_a_lease_ends_by_time_alone() -> None:
+    desk = Agreed().spacious()
+    desk.go_on(4.0)
+    assert not desk.ask("order")[1]
+    desk.go_on(2.2, answers=False)
+    assert desk.ask("order", 8)[1].startswith(b"-BUSY") and not desk.versions.standing.leased
+
+
+def test_a_send_that_waited_past_the_lease_does_not_leave() -> None:
+    """A process stopped in the middle of a send: the connection comes up after the lease is over."""
+    desk = Agreed().spacious()
+    desk.go_on(4.0)
+    client, _ = desk.ask("order")
+    desk.loop.calls.clear()  # stopped: nothing runs, and the clock goes on
+    desk.loop.clock += 3.0
+    line = desk.line()
+    assert not line.sent  # its last byte has not left, and none will
+    desk.loop.run()
+    assert client.take().startswith(b"-BUSY")
+
+
+def test_what_a_version_forbids_is_not_done_from_when_it_is_heard() -> None:
+    desk = Agreed().spacious()
+    desk.go_on(4.0)
+    desk.list(*(endpoint(f"c{i}") | {"zone": "a" if i == 1 else "b"} for i in range(1, 4)))
+    desk.publish(2, order={"failureDomainsOnly": ["a"]})
+    assert desk.versions.standing.versions == (1, 2)
+    for key in range(12):
+        desk.ask("order", key)
+    places = {place for _, place in desk.loop.opened}
+    assert places <= {("10.1.0.1", 6379)}
+    desk.known = desk.held = 2
+    desk.go_on(1.0)
+    assert desk.versions.standing == ((2,), True)
+
+
+def test_an_rpc_taken_under_one_version_ends_under_what_both_allow() -> None:
+    """Its cache failed; the next is one that the new version allows, and the old one's repeats hold."""
+    desk = Agreed(order={"failureDomainsOnly": ["a"]}).spacious()
+    desk.go_on(4.0)
+    desk.list(*(endpoint(f"c{i}") | {"zone": "a" if i < 3 else "b"} for i in range(1, 4)))
+    client, _ = desk.ask("order")
+    save, _ = desk.ask("save", 9)
+    desk.publish(2, order={"failureDomainsOnly": ["a", "b"]}, save={"effect": "pure"})
+    rpcs = [call.rpc for call in desk.proxy.calls.values()]
+    methods = desk.proxy.router.policy.methods
+    assert {methods[rpc.method]["repeats"] for rpc in rpcs} == {"non-retriable", "deduped"}
+    assert [methods[rpc.method].get("zones_open") for rpc in rpcs if rpc.name == "order"] == [["a"]]
+    for stream, _ in list(desk.loop.opened):
+        stream.cut()  # refused: proven not run, so each is sent once more
+    desk.loop.run(0.01)
+    assert {place for stream, place in desk.loop.opened if not stream.closed} <= {
+        ("10.1.0.1", 6379), ("10.1.0.2", 6379), ("10.1.0.3", 6379)}
+    order = next(rpc for rpc in rpcs if rpc.name == "order")
+    assert {tx.cache for tx in order.sent} <= {"c1", "c2"}
+
+
+def test_figures_and_names_stay_the_clients_through_versions_and_nothing_is_left_over() -> None:
+    desk = Agreed().spacious()
+    desk.go_on(4.0)
+    policy = desk.proxy.router.policy
+    for version in range(2, 8):
+        client, _ = desk.ask("read", version)
+        desk.publish(version, read={"windowNs": 1_000_000_000 + version})
+        desk.known = desk.held = version
+        for stream, _ in desk.loop.opened:
+            if not stream.closed:
+                wire = stream.transport or Wire(stream)
+                if stream.queue:
+                    wire.feed(reply(b"fresh"))
+        assert client.take() == b"$5\r\nfresh\r\n"
+        desk.go_on(1.0)
+    assert "proxy.answered.read:6|c" in desk.proxy.call("counters")
+    assert set(policy.methods) == {"read", "save", "order"} == set(policy.usual) - {None}
+
+
+@pytest.mark.parametrize("line,word", [
+    (b"{", b"line 1"), (b"[]", b"document"), (b'{"version": 2}', b"after")])
+def test_a_document_that_is_wrong_changes_nothing_and_is_one_line(line: bytes, word: bytes,
+                                                                  caplog: pytest.LogCaptureFixture) -> None:
+    desk = Agreed()
+    desk.go_on(4.0)
+    with caplog.at_level("WARNING", "calicofall"):
+        desk.versions.told(line)
+    assert [r.message for r in caplog.records] == ["settings refused"]
+    assert word.decode() in caplog.records[0].reason and desk.versions.standing == ((1,), True)
+
+
+def test_a_document_that_may_not_follow_is_refused_and_shown() -> None:
+    desk = Agreed(order={"failureDomainsOnly": ["a"]})
+    desk.go_on(4.0)
+    desk.publish(2, order={"failureDomainsOnly": ["b"]})
+    assert desk.versions.standing == ((1,), True)
+    assert "settings.refused:2 methods.order" in desk.proxy.call("versions")
+
+
+def test_words_of_versions_pass_the_datagrams_codec_and_mangled_ones_do_not() -> None:
+    word = Word(True, 1, 7, 9, 3, 3, 2, True)
+    data = talk.write("shop", word)
+    assert talk.read(data, "shop", 3) == word
+    for wrong in (word._replace(known=-1), word._replace(ready=1), word._replace(sender=5)):
+        with pytest.raises(talk.Mangled, match="form"):
+            talk.read(talk.write("shop", wrong), "shop", 3)
