--- a/calicofall/net/caches.py
+++ b/calicofall/net/caches.py
@@ -402,6 +402,10 @@
         for pool in self.pools.values():
             pool.warm()
 
+    def states(self) -> dict[str, str]:
+        """Each listed cache's state."""
+        return {name: entry[4] for name, entry in self.entries.items()}
+
     def known(self, index: int | None) -> dict[str, Any]:
         """The list that is acted on, in discovery's form."""
         places = {name: pool.address for name, pool in self.pools.items()}
--- a/calicofall/net/discovery.py
+++ b/calicofall/net/discovery.py
@@ -131,6 +131,7 @@
         self.again: asyncio.TimerHandle | None = None  # the next try
         self.sense: Callable[[Callable[[float], None]], None] | None = None  # tells how many stand in line
         self.stopped = self.down = self.heard = False  # heard: the agent has said how the list stands
+        self.renewing = False  # the watch is to be opened anew at the next try
         self.answered = asyncio.Event()  # heard, or refused: it has nothing to tell
         self.first = asyncio.Event()  # heard
 
@@ -155,11 +156,15 @@
 
     def ask(self) -> None:
         later = self.line.due(self.loop.time())
+        if later is None and self.renewing and self.watch is not None:
+            watch, self.watch = self.watch, None
+            watch.cut()
         if self.stopped or (self.watch is not None and not self.watch.closed):
             return
         if later is not None:
             self.wait(later)
             return
+        self.renewing = False
         self.watch = Watch(self)
         self.open(self.loop, self.watch, self.place, SILENT)
         self.loop.call_later(SILENT, self.listen, self.watch)
@@ -197,6 +202,7 @@
         if kind == "delta" and isinstance(index, int) and self.since is not None and index < self.since:
             log.warning("older changes ignored", extra={"index": index, "known": self.since})
             return
+        self.renewing = False  # what peers know of has come, perhaps
         self.news(kind, index, entries, addresses)
         self.since = index if isinstance(index, int) else self.since
 
@@ -217,6 +223,13 @@
         else:
             self.wait(self.line.broke(self.loop.time()))
 
+    def once_more(self, part: float) -> None:
+        """The list is asked for again, for peers know of a later one; their word is not taken for it. `part`
+        of them are behind, too: then it is asked for by turns, while the present watch goes on."""
+        if not self.down:
+            self.renewing = True
+            self.wait(self.line.enter(self.loop.time(), part))
+
     def move(self, address: str) -> None:
         """Another agent from here on. Its versions are its own: the whole list is asked for, ours holds."""
         if address != self.host:
--- a/calicofall/net/peers.py
+++ b/calicofall/net/peers.py
@@ -9,6 +9,7 @@
 from collections import Counter
 from collections.abc import Callable
 
+from calicofall.fleet.lists import GAP, Lists, Seen
 from calicofall.start import talk
 from calicofall.start.crowd import Crowd
 
@@ -22,6 +23,9 @@
         self.loop, self.crowd, self.fleet, self.life, self.places = loop, crowd, fleet, life, places
         self.served = served
         self.versions: Callable[[talk.Say], None] | None = None  # who hears of versions
+        self.lists = Lists(crowd.me, life, crowd.proxies, crowd.chance)
+        self.again: Callable[[float], None] = lambda part: None  # asks the service for the list once more
+        self.round: asyncio.TimerHandle | None = None
         self.transport: asyncio.DatagramTransport | None = None
         self.then: Callable[[float], None] | None = None  # who waits for the sample
         self.timer: asyncio.TimerHandle | None = None
@@ -36,6 +40,23 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = transport
+        self.tell()
+
+    def tell(self) -> None:
+        """Tells a few peers which list is acted on here; names those whose list differs for long, once."""
+        now = self.loop.time()
+        peers, seen = self.lists.tell(now)
+        for peer in peers:
+            self.say(peer, seen)
+        part = self.lists.behind(now)
+        if part is not None:
+            log.info("list asked for again", extra={"index": self.lists.index, "behind_too": round(part, 2)})
+            self.again(part)
+        if self.lists.news(now):
+            peer, other, since = self.lists.differing(now)[0]
+            log.warning("lists differ", extra={"index": seen.index, "peer": peer, "its_index": other.index,
+                                               "for_s": round(since, 1)})
+        self.round = self.loop.call_later(GAP, self.tell)
 
     def sense(self, then: Callable[[float], None]) -> None:
         """Asks a sample of peers; `then` is told the part of the fleet that stands in line."""
@@ -55,7 +76,7 @@
             self.timer.cancel()
             then(part)
 
-    def say(self, peer: int, word: talk.Word | talk.Say) -> None:
+    def say(self, peer: int, word: talk.Word | talk.Say | Seen) -> None:
         if self.transport is not None and not self.transport.is_closing():
             self.transport.sendto(talk.write(self.fleet, word), self.places[peer])
 
@@ -68,6 +89,11 @@
         if isinstance(word, talk.Say):
             if self.versions is not None:
                 self.versions(word)
+        elif isinstance(word, Seen):
+            now = self.loop.time()
+            if word.asks:
+                self.say(word.sender, self.lists.word(now, False, word.mark))
+            self.lists.told(now, word)
         elif word.asks:
             self.say(word.sender, talk.Word(False, self.crowd.me, self.life, word.mark, self.served()))
         elif self.crowd.told(word.mark, word.sender, word.served):
@@ -85,8 +111,17 @@
             log.warning("datagrams dropped", extra=dict(self.dropped))
             self.tell_at = self.loop.time() + SELDOM
 
+    def lines(self) -> list[str]:
+        """For operators: our list, and the peers' that have differed for long."""
+        now, lists = self.loop.time(), self.lists
+        return [f"list.index:{lists.index}", f"list.digest:{lists.digest:012x}",
+                f"list.age_s:{now - lists.at:.1f}", f"list.peers_heard:{len(lists.heard)}",
+                *(f"list.differs:{peer} index={seen.index} digest={seen.digest:012x} for_s={since:.1f}"
+                  for peer, seen, since in lists.differing(now))]
+
     def close(self) -> None:
-        if self.timer is not None:
-            self.timer.cancel()
+        for timer in (self.timer, self.round):
+            if timer is not None:
+                timer.cancel()
         if self.transport is not None:
             self.transport.close()
--- a/calicofall/net/proxy.py
+++ b/calicofall/net/proxy.py
@@ -121,6 +121,7 @@
             self.peers = Peers(loop, Crowd(me, proxies, room_told, chance), self.starts["fleet"], life,
                                self.starts["peers"], lambda: self.discovery.live)
             self.discovery.sense = self.peers.sense
+            self.peers.again = self.discovery.once_more
         self.calls: dict[str, Call] = {}
         self.open: set[bytes] = set()  # the ids of RPCs in hand, as clients named them
         self.ids, self.rounds = count(), 0
@@ -190,6 +191,8 @@
         # The module first: what is not sent any more for the list's sake is then sent elsewhere.
         self.router.listed(self.now(), kind, index, entries)
         self.caches.listed(kind, entries, addresses)
+        if self.peers is not None and kind != "cached":
+            self.peers.lists.own(self.loop.time(), index, self.caches.states())
 
     def unheard(self) -> None:
         if self.asks:
@@ -450,6 +453,8 @@
             return "\n".join([SAID_OK, *self.figures.lines(), "."])
         if name == "phases":
             return "\n".join([SAID_OK, *self.phases.lines(), "."])
+        if name == "lists" and self.peers is not None:
+            return "\n".join([SAID_OK, *self.peers.lines(), "."])
         if name == "versions" and self.versions is not None:
             return "\n".join([SAID_OK, *self.versions.lines(), "."])
         if name == "quiesce":
--- a/calicofall/stage/drill.py
+++ b/calicofall/stage/drill.py
@@ -140,6 +140,7 @@
     connections: Count | None = None  # held at any cache
     fetches: Count | None = None  # asked of the origin at one time
     list_before_door: bool = True  # no proxy says yes before it was told a list
+    told_all_s: Over0 | None = None  # from when the first was told that a cache drains until all were
     settled_s: Over0 | None = None  # a version forbids for all so long after a majority was handed it
     served: Share | None = None  # of the RPCs of the last third, completed in time
     serves_all_s: Over0 | None = None  # by when all proxies say yes
--- a/calicofall/stage/referee.py
+++ b/calicofall/stage/referee.py
@@ -201,6 +201,26 @@
                 if over > GRACE + SLACK + self.lag and not self.gone(what.proxy, known[what.cache][0], at):
                     self.say("drains", what.proxy, at, f"sent to {what.cache} {over:.2f} s after its drain")
         self.figures["latest_after_drain_s"] = round(latest, 3)
+        self.spread()
+
+    def spread(self) -> None:
+        """How long it took from the first proxy to the last until all were told of a drain, by the service."""
+        first: dict[str, dict[str, float]] = defaultdict(dict)
+        for told in sorted(self.records.told):
+            for name, state in told.entries:
+                if state == "DRAINING":
+                    first[name].setdefault(told.proxy, told.at)
+        longest, bound = 0.0, self.drill.must.told_all_s
+        for name, times in first.items():
+            begin = min(times.values())
+            for proxy in (f"p{i}" for i in range(self.drill.fleet.proxies)):
+                at = times.get(proxy, float("inf"))
+                if at < float("inf"):
+                    longest = max(longest, at - begin)
+                due = begin + bound + self.lag if bound is not None else float("inf")
+                if at > due and due < self.records.ended:
+                    self.say("told", proxy, begin + bound, f"not told yet that {name} drains")
+        self.figures["drain_told_all_s"] = round(longest, 2)
 
     def cold(self) -> None:
         """Cold caches are not pushed over by all proxies together: from sends, by the stated capacity."""
--- a/calicofall/start/talk.py
+++ b/calicofall/start/talk.py
@@ -11,6 +11,7 @@
 import orjson
 
 from calicofall.fleet.agreement import Word as Say
+from calicofall.fleet.lists import Seen
 
 VERSION, LARGEST = 1, 512  # bytes
 
@@ -29,15 +30,15 @@
     served: bool
 
 
-KINDS = (Word, Say)  # who stands in line; which versions are known
+KINDS = (Word, Say, Seen)  # who stands in line; which versions are known; which list is acted on
 
 
-def write(fleet: str, word: Word | Say) -> bytes:
+def write(fleet: str, word: Word | Say | Seen) -> bytes:
     body = orjson.dumps([VERSION, fleet, KINDS.index(type(word)), *word])
     return blake2b(body, digest_size=8).digest() + body
 
 
-def read(data: bytes, fleet: str, proxies: int) -> Word | Say:
+def read(data: bytes, fleet: str, proxies: int) -> Word | Say | Seen:
     if not 8 < len(data) <= LARGEST or blake2b(data[8:], digest_size=8).digest() != data[:8]:
         raise Mangled("digest")
     try:
--- /dev/null
+++ b/tests/test_lists.py
@@ -0,0 +1,131 @@
+"""What proxies tell each other of their lists: a reason to ask the service, never a list."""
+
+from math import log2
+from random import Random
+
+import pytest
+from helpers import Desk, Loop, endpoint
+
+from calicofall.fleet.lists import AGAIN, DIFFERS, FEW, FORGET, GAP, WAITS, Lists, Seen, digest
+from calicofall.net.peers import Peers
+from calicofall.start import talk
+from calicofall.start.crowd import Crowd
+
+OLD = {"c1": "ready", "c2": "ready"}
+NEW = {"c1": "ready", "c2": "draining"}
+
+
+def fleet(count: int) -> list[Lists]:
+    found = [Lists(me, me + 100, count, Random(me)) for me in range(count)]
+    for one in found:
+        one.own(0.0, 7, OLD)
+    return found
+
+
+def test_a_digest_is_of_names_and_states_in_any_order() -> None:
+    assert digest(OLD) == digest(dict(reversed(OLD.items()))) != digest(NEW)
+    assert digest({}) != digest(OLD)
+
+
+@pytest.mark.parametrize("count,loss", [(3, 0.0), (50, 0.0), (200, 0.0), (200, 0.1)])
+def test_what_one_was_told_reaches_all_as_a_reason_to_ask(count: int, loss: float) -> None:
+    """The service answers whoever asks; nobody takes the list from a peer."""
+    proxies, chance, asked = fleet(count), Random(1), {0: 0.0}
+    proxies[0].own(0.0, 8, NEW)
+    at = {one.me: chance.uniform(0.0, GAP) for one in proxies}
+    sent = 0
+    while len(asked) < count:
+        me = min(at, key=at.__getitem__)
+        now = at[me]
+        peers, seen = proxies[me].tell(now)
+        at[me] = now + GAP
+        for peer in peers:
+            sent += 2
+            if chance.random() < loss:
+                continue
+            for hears, word in ((peer, seen), (me, proxies[peer].word(now, False, seen.mark))):
+                proxies[hears].told(now, word)
+        if proxies[me].behind(now) is not None:
+            asked.setdefault(me, now)
+            proxies[me].own(now, 8, NEW)
+        assert now < 20.0
+    half = sorted(asked.values())[count // 2]
+    assert half <= GAP * (log2(count) / log2(1 + 2 * FEW) + 2) + WAITS + GAP
+    assert sent <= 2 * FEW * count * (max(asked.values()) / GAP + 2)
+
+
+def test_the_service_is_asked_for_a_higher_version_alone_and_not_over_and_over() -> None:
+    one = fleet(3)[0]
+    word = Seen(True, 1, 101, 5, 8, digest(NEW), 10)
+    same = word._replace(index=99, digest=digest(OLD))
+    for other in (word._replace(index=6), word._replace(sender=0), same):
+        one.told(1.0, other)  # older, our own, the same list counted otherwise
+        assert one.behind(9.0) is None
+    one.told(10.0, word)
+    assert one.behind(10.0 + WAITS / 2) is None  # our own watch may be about to say it
+    assert one.behind(10.0 + WAITS) == 0.0 and one.behind(11.0) is None
+    one.told(11.0, word._replace(sender=2, index=7, digest=digest(OLD)))
+    assert one.behind(10.0 + WAITS + AGAIN) == 0.5  # one of two stands where we do: by turns
+    assert one.index == 7 and one.digest == digest(OLD)  # nothing was taken
+    one.own(13.0, 8, NEW)
+    assert one.behind(99.0) is None
+
+
+def test_lists_that_differ_for_long_are_named_once_until_they_agree() -> None:
+    one = fleet(3)[0]
+    old = Seen(False, 2, 102, 5, 6, digest(NEW), 10)
+    one.told(1.0, old)
+    assert not one.news(1.0 + DIFFERS)  # it may have heard the list since
+    one.told(1.0 + DIFFERS, old)
+    assert one.news(1.0 + DIFFERS) and not one.news(2.0 + DIFFERS)
+    assert [(peer, seen.index) for peer, seen, _ in one.differing(5.0)] == [(2, 6)]
+    one.told(6.0, old._replace(digest=digest(OLD)))
+    assert not one.differing(60.0) and not one.news(60.0)
+    one.told(61.0, old)
+    one.tell(61.0 + FORGET + 1.0)  # it has said nothing since: it may be gone
+    assert not one.differing(99.0)
+
+
+class Air:
+    def __init__(self) -> None:
+        self.sent: list[bytes] = []
+
+    def sendto(self, data: bytes, _place: tuple) -> None:
+        self.sent.append(data)
+
+    def is_closing(self) -> bool:
+        return False
+
+
+def test_the_datagram_socket_answers_names_and_asks_again(caplog: pytest.LogCaptureFixture) -> None:
+    loop, again = Loop(), []
+    peers = Peers(loop, Crowd(0, 3, 10.0, Random(1)), "shop", 5, [("10.0.0.1", 1)] * 3, lambda: True)
+    peers.again = again.append
+    peers.lists.own(loop.time(), 7, OLD)
+    peers.connection_made(air := Air())
+    assert {type(talk.read(data, "shop", 3)) for data in air.sent} == {Seen} and len(air.sent) == 2
+    air.sent.clear()
+    word = Seen(True, 1, 9, 55, 8, digest(NEW), 3)
+    peers.datagram_received(talk.write("shop", word), ("x", 1))
+    answer = talk.read(air.sent[0], "shop", 3)
+    assert (answer.asks, answer.mark, answer.index, answer.digest) == (False, 55, 7, digest(OLD))
+    loop.run(0.6)
+    assert again == [0.0]
+    with caplog.at_level("WARNING", "calicofall"):
+        for _ in range(8):
+            loop.run(0.9)
+            peers.datagram_received(talk.write("shop", word._replace(asks=False)), ("x", 1))
+    assert [r.message for r in caplog.records] == ["lists differ"]
+    assert any(line.startswith("list.differs:1 index=8") for line in peers.lines())
+
+
+def test_a_proxy_asks_the_service_again_and_keeps_its_list_meanwhile() -> None:
+    desk = Desk()
+    discovery = desk.proxy.discovery
+    discovery.start()
+    watch, tried = discovery.watch, len(desk.loop.opened)
+    discovery.once_more(0.0)
+    assert watch.closed and len(desk.loop.opened) == tried + 1
+    assert desk.proxy.caches.named == {"c1", "c2", "c3"}
+    desk.list(endpoint("c1", "DRAINING"))
+    assert desk.proxy.caches.states()["c1"] == "draining"
--- a/tests/test_stage.py
+++ b/tests/test_stage.py
@@ -350,6 +350,19 @@
     assert {finding.proxy for finding in verdict.findings if finding.rule == "versions"} == {"p0", "p3"}
 
 
+def test_what_one_proxy_was_told_late_lists_reach_the_others_as_a_reason_to_ask(tmp_path: Path) -> None:
+    """News comes six seconds late to watches that are open; one that restarts hears it at once."""
+    plan = drill.read({
+        "name": "late", "seconds": 9.5, "fleet": {"proxies": 8, "caches": 4, "speak": True},
+        "service": {"room": 20.0}, "cache": {"cold": False}, "traffic": {"per_s": 40.0}, "event": [
+            {"at": 2.0, "until": 9.0, "do": "service_late", "amount": 6.0},
+            {"at": 3.0, "do": "drain", "who": "c2"}, {"at": 3.3, "do": "restart", "who": "p4"}],
+        "must": {"told_all_s": 4.0, "asks_per_room": 1.5}}, "late")
+    verdict, _ = play(plan, tmp_path)
+    assert verdict.word == "passed", (verdict.void, verdict.findings[:5])
+    assert 0.0 < verdict.figures["drain_told_all_s"] < 4.0
+
+
 def test_results_are_kept_shown_and_drawn(tmp_path: Path) -> None:
     records = seen()
     report.keep(tmp_path, small(), judge(small(), records), records)
