--- a/calicofall/stage/referee.py
+++ b/calicofall/stage/referee.py
@@ -204,7 +204,7 @@
         self.spread()
 
     def spread(self) -> None:
-        """How long it took from the first proxy to the last until all were told of a drain, by the service."""
+        """How long it took from the first proxy to the last until each was told of a drain."""
         first: dict[str, dict[str, float]] = defaultdict(dict)
         for told in sorted(self.records.told):
             for name, state in told.entries:
