A proxy that stands in line keeps its place when peers tell of later lists

Seen: 300 proxies cold before a service of 10 a second, one play: three had no list after 64 s (listed 297), 10 refused, peak 16. Their logs: 'list asked for again' every two seconds before any list was heard; each moved the turn to another period's slot (Discovery.once_more, Peers.tell). Only who has a live watch asks again, and only once at a time.

--- a/calicofall/net/discovery.py
+++ b/calicofall/net/discovery.py
@@ -226,7 +226,9 @@
     def once_more(self, part: float) -> None:
         """The list is asked for again, for peers know of a later one; their word is not taken for it. `part`
         of them are behind, too: then it is asked for by turns, while the present watch goes on."""
-        if not self.down:
+        # Guards against one that stands in line already and loses its place for each word: three of 300 that
+        # started together had no list after a minute.
+        if self.live and not self.renewing:
             self.renewing = True
             self.wait(self.line.enter(self.loop.time(), part))
 
--- a/calicofall/net/peers.py
+++ b/calicofall/net/peers.py
@@ -48,7 +48,7 @@
         peers, seen = self.lists.tell(now)
         for peer in peers:
             self.say(peer, seen)
-        part = self.lists.behind(now)
+        part = self.lists.behind(now) if self.served() else None  # else it stands in line for it already
         if part is not None:
             log.info("list asked for again", extra={"index": self.lists.index, "behind_too": round(part, 2)})
             self.again(part)
--- a/tests/test_lists.py
+++ b/tests/test_lists.py
@@ -4,12 +4,15 @@
 from random import Random
 
 import pytest
-from helpers import Desk, Loop, endpoint
+from helpers import HEAD, Desk, Loop, Wire, endpoint
 
 from calicofall.fleet.lists import AGAIN, DIFFERS, FEW, FORGET, GAP, WAITS, Lists, Seen, digest
+from calicofall.net.discovery import Discovery
 from calicofall.net.peers import Peers
 from calicofall.start import talk
 from calicofall.start.crowd import Crowd
+from calicofall.start.grid import Grid
+from calicofall.start.line import Line
 
 OLD = {"c1": "ready", "c2": "ready"}
 NEW = {"c1": "ready", "c2": "draining"}
@@ -125,7 +128,24 @@
     discovery.start()
     watch, tried = discovery.watch, len(desk.loop.opened)
     discovery.once_more(0.0)
+    assert len(desk.loop.opened) == tried  # it has asked, and not been answered: nothing is asked for twice
+    Wire(watch).feed(HEAD + b"1\r\n\n\r\n")
+    discovery.once_more(0.0)
     assert watch.closed and len(desk.loop.opened) == tried + 1
     assert desk.proxy.caches.named == {"c1", "c2", "c3"}
     desk.list(endpoint("c1", "DRAINING"))
     assert desk.proxy.caches.states()["c1"] == "draining"
+
+
+def test_one_that_stands_in_line_keeps_its_place_whatever_peers_tell() -> None:
+    """Each word of a later list moved its turn: three of 300 that started together were never served."""
+    loop, line = Loop(), Line(Random(1), 300, 5.0, Grid(299, 300, 10.0, 1000.0, 7_000.0))
+    discovery = Discovery(loop, loop.open, "10.2.0.1:8500", None, line, lambda *news: None, lambda: None,
+                          lambda phase: None)
+    discovery.sense = lambda then: then(1.0)
+    discovery.start()
+    while not loop.opened and loop.time() < 1031.0:
+        loop.run(0.1)
+        parts = [number / 50 for number in range(1, 50)]  # peers' words at their worst
+        discovery.once_more(max(parts, key=lambda part: line.grid.next(loop.time(), 2.0 * part)))
+    assert len(loop.opened) == 1 and loop.time() < 1030.2
