--- a/calicofall/start/grid.py
+++ b/calicofall/start/grid.py
@@ -5,12 +5,12 @@
 know what the turn is for.
 
 The bound: in any span of T seconds at most room * T + 1 turns fall due over the fleet, whatever the number of
-proxies, since two neighbours on the grid lie 1 / room apart. Clocks that differ by d seconds between proxies
-make that room * (T + 2 d) + 1. A clock that is set back in mid-way moves nothing: the phase is read once, and
-spans are counted on the monotonic clock from there.
+proxies, since two neighbours on the grid lie 1 / room apart. Clocks that differ by d seconds between proxies,
+and processes that are late by LATE at most, make that room * (T + 2 d + LATE) + 1. A clock set back in mid-way
+moves nothing: the phase is read once, and spans are counted on the monotonic clock from there.
 """
 
-LATE = 0.5  # of the distance of two slots: a turn that falls due later than this has lapsed
+LATE = 0.3  # s: a turn that is seen later than this has lapsed; a busy machine is late by less
 
 
 class Grid:
@@ -30,4 +30,4 @@
     def lapsed(self, slot: float, now: float) -> bool:
         """Whether a slot is over, as for one that was stopped while it waited: a crowd that wakes together
         must not ask together."""
-        return now > slot + max(LATE * self.gap, 0.05)
+        return now > slot + LATE
