--- a/calicofall/stage/drill.py
+++ b/calicofall/stage/drill.py
@@ -54,6 +54,7 @@
     handshake_ms: From0 = 2.0
     hit_ms: Over0 = 4.0
     keys: Count = 5000
+    reports: bool = False  # caches tell their load with each answer
     cold: bool = True  # all caches begin cold
     cold_share: Annotated[float, Field(gt=0.0, le=1.0)] = 0.2
     cold_s: Over0 = 10.0
--- a/calicofall/stage/models.py
+++ b/calicofall/stage/models.py
@@ -164,6 +164,10 @@
         self.ends = deque(sorted(self.ends)) if len(self.ends) > 1 and self.ends[-2] > done else self.ends
         return Answer(done, True, note)
 
+    def report(self, now: float) -> bytes:
+        """Its load, as it is told with an answer: RPCs in hand, RPCs that it can do a second."""
+        return b"pending=%d,served_ps=%d" % (sum(end > now for end in self.ends), self.capacity(now))
+
     def _keep(self, key: str) -> None:
         self.held[key] = None
         if len(self.held) > self.room:
--- a/calicofall/stage/play.py
+++ b/calicofall/stage/play.py
@@ -135,7 +135,7 @@
         model = Cache(self.origin, cache.slots, cache.queue, cache.connections, cache.handshake_ms / 1000.0,
                       cache.hit_ms / 1000.0, cache.keys, cache.cold_share, cache.cold_s, cache.fall_multiple,
                       cache.fall_s)
-        self.caches[name] = CacheStand(self, name, model, self.clients.size)
+        self.caches[name] = CacheStand(self, name, model, self.clients.size, cache.reports)
 
     def entry(self, name: str, status: str = "SERVING", since: float | None = None) -> dict[str, Any]:
         before = self.service.model.entries.get(name, {})
--- a/calicofall/stage/wires.py
+++ b/calicofall/stage/wires.py
@@ -164,8 +164,9 @@
 class CacheStand:
     """A cache on its socket."""
 
-    def __init__(self, stage: Stage, name: str, model: Cache, sizes: Callable[[str], int]) -> None:
-        self.stage, self.name, self.model, self.sizes = stage, name, model, sizes
+    def __init__(self, stage: Stage, name: str, model: Cache, sizes: Callable[[str], int],
+                 reports: bool) -> None:
+        self.stage, self.name, self.model, self.sizes, self.reports = stage, name, model, sizes, reports
         self.plug = listener(socket.SOCK_STREAM)
         self.port = self.plug.getsockname()[1]
 
@@ -212,7 +213,9 @@
         value = b"of " + parts[2]
         value += b"." * (0 if write else self.stand.sizes(parts[1].decode()) - len(value))
         note = b"$%d\r\n%b\r\n" % (len(answer.note), answer.note.encode()) if answer.note else b"$-1\r\n"
-        data = b"*3\r\n$%d\r\n%b\r\n%b$-1\r\n" % (len(value), value, note)
+        report = self.stand.model.report(now) if self.stand.reports else None
+        load = b"$%d\r\n%b\r\n" % (len(report), report) if report else b"$-1\r\n"
+        data = b"*3\r\n$%d\r\n%b\r\n%b%b" % (len(value), value, note, load)
         self.stage.loop.call_at(answer.at, self.reply, place, data)
 
     def reply(self, place: int, data: bytes) -> None:
--- a/calicofall/start/grid.py
+++ b/calicofall/start/grid.py
@@ -5,8 +5,8 @@
 know what the turn is for.
 
 The bound: in any span of T seconds at most room * T + 1 turns fall due over the fleet, whatever the number of
-proxies, since two neighbours on the grid lie 1 / room apart. Clocks that differ by d seconds between proxies,
-and processes that are late by LATE at most, make that room * (T + 2 d + LATE) + 1. A clock set back in mid-way
+proxies, since neighbours on the grid lie 1 / room apart. Clocks that differ by d seconds between proxies,
+and processes that are late by LATE at most, make that room * (T + 2 d + LATE) + 1. A clock set back meanwhile
 moves nothing: the phase is read once, and spans are counted on the monotonic clock from there.
 """
 
--- a/calicofall/start/line.py
+++ b/calicofall/start/line.py
@@ -10,9 +10,10 @@
 - first tries and tries after a watch that broke off are on the grid while others stand in line too, by the
   crowd's part p: at once for p = 0, in a period of min(1, 2 p) N / R else. Unknown counts as p = 1;
 - tries after a refusal are on the full grid, and no sooner than the service said (Retry-After).
-So any second sees at most 1.3 R + 1 tries of the grid (processes are late by 0.3 s at most), half of R more by chance (start/crowd.py), and the last of
-N proxies that start together has asked by N / R after its start and has its list by 1.3 N / R, if the service
-begins R a second. A proxy that is alone asks at once. A slot that was slept through has lapsed.
+So any second sees at most 1.3 R + 1 tries of the grid (processes are late by 0.3 s at most), half of R more
+by chance (start/crowd.py), and the last of N proxies that start together has asked by N / R after its start
+and has its list by 1.3 N / R, if the service begins R a second. A proxy that is alone asks at once. A slot
+that was slept through has lapsed.
 
 Where they do not, a proxy asks at once, and after refusals in pauses that grow with the fleet, drawn from a
 wide span first: tries that came in step would go on in step.
--- a/tests/test_stage.py
+++ b/tests/test_stage.py
@@ -124,6 +124,7 @@
     for key in "bc":
         model.command(3.0, key, False)
     assert model.command(9.0, "a", False).note == "miss"  # pushed out by two others
+    assert model.report(9.01) == b"pending=1,served_ps=20"
     answers = [model.command(20.0, "c", False).ran for _ in range(6)]
     assert answers == [True] * 4 + [False] * 2
 
@@ -377,7 +378,7 @@
     """A cold start with half of the links to the list service cut, a third stopped in line, then a drain."""
     plan = drill.read({
         "name": "mixed", "seconds": 16.0, "fleet": {"proxies": 12, "caches": 8, "speak": True},
-        "service": {"room": 4.0}, "cache": {"handshakes": 36.0, "connections": 48},
+        "service": {"room": 4.0}, "cache": {"handshakes": 36.0, "connections": 48, "reports": True},
         "traffic": {"per_s": 60.0}, "event": [
             {"at": 0.0, "until": 5.0, "do": "cut", "who": "half", "to": "list", "way": "back"},
             {"at": 1.0, "until": 4.0, "do": "stop", "who": "third"},
