--- a/calicofall/stage/drill.py
+++ b/calicofall/stage/drill.py
@@ -44,6 +44,7 @@
     open: Count = 10_000
     retry_after_s: Annotated[int, Field(ge=0)] | None = None
     queue: Annotated[int, Field(ge=0)] = 0
+    agents: bool = False  # an agent beside each proxy: answers at once, silent while the service is down
 
 
 class CacheRoom(Part):
@@ -112,8 +113,9 @@
 
 
 class ServiceEvent(Timed):
-    do: Literal["service_down", "service_silent", "service_late", "service_restart", "service_room"]
-    amount: From0 = 0.0  # s late, the first version after a restart, room
+    do: Literal["service_down", "service_silent", "service_slow", "service_late", "service_restart",
+                "service_room"]
+    amount: From0 = 0.0  # s slow or late, the first version after a restart, room
     older: Annotated[int, Field(ge=0)] = 0  # documents that a restarted service has forgotten
 
 
--- a/calicofall/stage/play.py
+++ b/calicofall/stage/play.py
@@ -114,6 +114,7 @@
         model = Service(drill.service.room, drill.service.open, drill.service.retry_after_s,
                         drill.service.queue)
         self.service = ServiceStand(self, model, lambda: {n: stand.port for n, stand in self.caches.items()})
+        self.service.agents = drill.service.agents
         wall, now = time.time(), self.loop.time()
         for name, stand in self.caches.items():
             if cache.cold:
@@ -295,6 +296,8 @@
             self.service.fall()
         elif do == "service_silent":
             self.service.silent = True
+        elif do == "service_slow":
+            self.service.slow = event.amount
         elif do == "service_late":
             self.service.model.late = event.amount
         elif do == "service_room":
@@ -309,6 +312,8 @@
             self.service.fall()
             self.service.model.restart(int(event.amount))
             self.service.down = False
+            if self.service.agents:
+                self.service.speak()
         elif do != "burst":
             self.cache(event)
 
@@ -364,6 +369,10 @@
                 self.clients.hold(self.again(name, event.forget))
         elif do == "service_down":
             self.service.down = False
+            if self.service.agents:
+                self.service.speak()
+        elif do == "service_slow":
+            self.service.slow = 0.0
         elif do == "service_silent":
             self.service.speak()
         elif do == "service_late":
--- a/calicofall/stage/wires.py
+++ b/calicofall/stage/wires.py
@@ -253,6 +253,7 @@
         self.watches: set[ServiceWire] = set()
         self.documents: list[dict] = []  # of the settings, by version
         self.down = self.silent = False
+        self.agents, self.slow = False, 0.0  # an agent a proxy; s that a watch takes to begin
         self.beat()
 
     async def open(self) -> None:
@@ -287,6 +288,9 @@
             watch.document(one)
 
     def fall(self) -> None:
+        if self.agents:  # they live on, and have nothing to say
+            self.silent = True
+            return
         self.down = True
         for wire in [wire for wire in self.stage.wires if wire.other == "list"]:
             wire.cut()
@@ -344,7 +348,7 @@
             self.kept.clear()
             return
         now = self.stage.loop.time()
-        if self.settings:
+        if self.settings or self.stand.agents:
             self.begun = True
             self.begin()
             return
@@ -357,7 +361,7 @@
             self.transport.close()
         else:
             self.begun = True
-            self.stage.loop.call_at(begins, self.begin)
+            self.stage.loop.call_at(begins + self.stand.slow, self.begin)
 
     def begin(self) -> None:
         if self.over:
@@ -394,7 +398,7 @@
 
     def lost(self) -> None:
         self.stand.watches.discard(self)
-        if self.begun and not self.settings:
+        if self.begun and not self.settings and not self.stand.agents:
             self.stand.model.ended()
 
 
--- a/tests/test_stage.py
+++ b/tests/test_stage.py
@@ -364,6 +364,22 @@
     assert 0.0 < verdict.figures["drain_told_all_s"] < 4.0
 
 
+@pytest.mark.parametrize("agents", [True, False])
+def test_a_service_that_is_down_or_slow_is_waited_for_with_the_door_shut(agents: bool,
+                                                                         tmp_path: Path) -> None:
+    """Behind an agent a proxy it is silent; without, connections are cut and watches begin a second late."""
+    plan = drill.read({
+        "name": "down", "seconds": 7.5, "fleet": {"proxies": 4, "caches": 3}, "cache": {"cold": False},
+        "service": {"room": 50.0, "agents": agents}, "traffic": {"per_s": 20.0}, "event": [
+            {"at": 0.0, "until": 2.0, "do": "service_down"},
+            {"at": 0.0, "until": 6.0, "do": "service_slow", "amount": 1.0}],
+        "must": {"serves_all_s": 6.5}}, "down")
+    verdict, records = play(plan, tmp_path)
+    assert verdict.word == "passed", (verdict.void, verdict.findings[:5])
+    first = min(at for at, _ in records.pongs) - records.began
+    assert first > (2.0 if agents else 3.0)
+
+
 def test_results_are_kept_shown_and_drawn(tmp_path: Path) -> None:
     records = seen()
     report.keep(tmp_path, small(), judge(small(), records), records)
