--- a/calicofall/net/proxy.py
+++ b/calicofall/net/proxy.py
@@ -103,12 +103,12 @@
         self.emptying = Emptying(loop, self.clients)
         self.management = Management(loop, self.call)
         self.caches.shared = self.clients.room
-        known, self.learned = node.get("known") or {}, {}
+        known, learned = node.get("known") or {}, {}
         self.keep: Keep | None = None
         if "snapshot" in self.starts:
             self.keep = Keep(loop, self.starts["snapshot"], node["name"], self.snapshot)
             if (held := self.keep.load(wall, self.starts["oldest"])) is not None:
-                known, self.learned = held
+                known, learned = held
         # A chance of its own: the module's is for its decisions alone.
         chance, room_told = Random(seed + 1), self.starts.get("watches")
         grid = Grid(me, proxies, room_told, loop.time(), wall) if room_told else None
@@ -133,7 +133,7 @@
         if known:
             _, index, entries, addresses = words.listing(known)
             self.news("cached", index, entries, addresses)
-            self.router.relearn(self.now(), self.learned)
+            self.router.relearn(self.now(), learned)
         if document is not None:
             self.versions = versions.Versions(
                 loop, open, node["discovery"], me, self.peers.life, own, document, chance, self.peers.say,
--- a/calicofall/net/versions.py
+++ b/calicofall/net/versions.py
@@ -11,6 +11,8 @@
 from random import Random
 from typing import Any
 
+import orjson
+
 from calicofall import words
 from calicofall.fleet import document, fields
 from calicofall.fleet.agreement import Agreement, Standing, Word
@@ -140,8 +142,6 @@
     """The document that a configuration names; None where settings are as ever. Raises ValueError."""
     if node.get("document") is None:
         return None
-    import orjson
-
     try:
         one = document.read(orjson.dumps(node["document"]))
     except document.Wrong as reason:
