Close connections behind their last byte, and look once more before a command leaves

- Client.close called transport.close: with unread bytes the system resets the connection and what was in flight goes with it.
Now shut for writing, read and dropped until the peer's end or 0.25 s (Stream.close, one mechanism; bow is gone).
One that lingers goes first where room is wanted; no more than 128 KiB is read of a flood.
- Where reading was paused (16 commands ahead, framing lost), nobody saw a client leave: command after command was sent on for it.
POLLRDHUP is looked at right before a command leaves (Proxy.may) and each 0.25 s.
- Where caches take no cancelling, a command that waited for its connection went out after its client had left (Proxy.left).
- A command told its cache the time that was left when it was decided, not when it left, 1.5 s later at most; a repeat left after its window; one whose time-out was due in the same turn left.
Line._put asks at the last moment, for all proxies and not only with documents.
- A transmission that was held back and timed out in the same turn raised in Caches.give_up, or passed for one that may have run.
- SIGTERM: the listener closed with connections in its backlog; emptying took 3.6 s however short the deadlines, where a kill comes 0.7 s behind the longest.
Steps now follow the longest hard deadline, 3 s at most.
- Connections that rest closed also where a slow client had begun a command.

Tests that asked for an end in the same instant ask now for the shutdown behind the last byte, with nothing written after it; the one on floods says how much is read.

--- a/calicofall/net/caches.py
+++ b/calicofall/net/caches.py
@@ -36,12 +36,15 @@
 class Sending:
     """One transmission on its way."""
 
-    __slots__ = ("owner", "number", "data", "at", "last", "end", "line", "timer", "over", "sink", "bound",
-                 "counted")
-
-    def __init__(self, owner: Any, number: int, data: list[bytes], at: float, last: float) -> None:
-        self.owner, self.number, self.data, self.at = owner, number, data, at
-        self.last = last  # the loop's time at which its RPC is over: till then it may be waited for
+    __slots__ = ("owner", "number", "command", "at", "ends", "last", "end", "line", "timer", "over", "sink",
+                 "bound", "counted")
+
+    def __init__(self, owner: Any, number: int, command: Callable[[float], list[bytes]], at: float,
+                 ends: float, last: float) -> None:
+        self.owner, self.number, self.at = owner, number, at
+        self.command = command  # its bytes, by how long (ms) is left when they go out
+        self.ends = ends  # the loop's time until which its answer is waited for
+        self.last = last  # and at which its RPC is over: till then it may be
         self.end = 0  # where its last byte stands among all that its connection wrote
         self.line: Line | None = None
         self.timer: asyncio.TimerHandle | None = None
@@ -50,6 +53,10 @@
         self.bound = False  # some of it has been passed on
         self.counted: str | None = None  # the cache at which it counts as out
 
+    def waits(self) -> bool:
+        """Whether its last byte has not left: it can be withdrawn as never run."""
+        return self.line is None or self.line.proven(self)
+
 
 class Sink(Protocol):
     """Where a long answer is passed on to."""
@@ -63,7 +70,7 @@
     """A connection to a cache, with the transmissions that wait for an answer in their order."""
 
     def __init__(self, pool: "Pool") -> None:
-        super().__init__()
+        super().__init__(pool.caches.loop)
         self.pool, self.place = pool, pool.address
         self.parser = resp.Replies(self.inward)
         self.queue: deque[Sending] = deque()
@@ -93,18 +100,21 @@
             self._put(sending)
 
     def _put(self, sending: Sending) -> None:
-        # Guards against settings that changed, or were no longer proved, while it waited for its connection.
-        if not self.pool.caches.may(sending):
+        # Guards against all that changed while it waited for its connection: its client left, its time or the
+        # window for repeats is over, the settings are others or no longer proved.
+        left = sending.ends - self.loop.time()
+        if left <= 0.0 or not self.pool.caches.may(sending):
             self.queue.remove(sending)
-            self.pool.caches.loop.call_soon(self.pool.caches.done, sending, "held")
+            sending.line = None  # guards against a time-out or a departure before that is told
+            self.loop.call_soon(self.pool.caches.done, sending, "held")
             if not self.queue and self.up:
                 self.rest()
             return
-        sending.end = self.written + sum(map(len, sending.data))
+        data = sending.command(left * 1000.0)
+        sending.end = self.written + sum(map(len, data))
         self.unsent.append(sending.end)
-        for piece in sending.data:
+        for piece in data:
             self.write(piece)
-        sending.data = []
 
     def departed(self) -> None:
         while self.unsent and self.unsent[0] <= self.handed and not self.stuck:
@@ -128,9 +138,9 @@
             if value is resp.COMING:
                 if self.parser.long and self.pass_on():
                     continue
-                self.moved = self.pool.caches.loop.time()
+                self.moved = self.loop.time()
                 if self.watcher is None and self.parser.midway() and not self.held:
-                    self.watcher = self.pool.caches.loop.call_later(STALL, self.look)
+                    self.watcher = self.loop.call_later(STALL, self.look)
                 return
             self.answered(value)
 
@@ -158,7 +168,7 @@
         """The client takes more."""
         if self.held:
             self.hold(False)
-            self.moved = self.pool.caches.loop.time()
+            self.moved = self.loop.time()
             self.came()
 
     def answered(self, value: resp.Value) -> None:
@@ -177,9 +187,9 @@
             return
         # A long one has been begun to be passed on: it is waited for while there is any hope.
         still = STILL if self.queue and self.queue[0].sink is not None else STALL
-        left = self.moved + still - self.pool.caches.loop.time()
+        left = self.moved + still - self.loop.time()
         if left > 0.0:
-            self.watcher = self.pool.caches.loop.call_later(left, self.look)
+            self.watcher = self.loop.call_later(left, self.look)
         else:
             self.spoil("an answer that does not end")
 
@@ -197,7 +207,7 @@
     def rest(self) -> None:
         # Guards against a cache that drains, or whose name has moved to another address meanwhile.
         if self.pool.wanted and self.place == self.pool.address:
-            self.idle_since = self.pool.caches.loop.time()
+            self.idle_since = self.loop.time()
         else:
             self.cut()
 
@@ -418,15 +428,17 @@
         places = {name: pool.address for name, pool in self.pools.items()}
         return words.listed(index, list(self.entries.values()), places)
 
-    def send(self, name: str, owner: Any, number: int, data: list[bytes], now: float, time_out: float,
-             left: float, soft: float) -> Sending:
+    def send(self, name: str, owner: Any, number: int, command: Callable[[float], list[bytes]], now: float,
+             time_out: float, left: float, soft: float) -> Sending:
         """Sends to a cache; the answer is waited for `time_out` ms, of the `left` ms that the RPC has.
 
         `soft`: ms to its soft deadline. A connection whose turn to be opened comes too late for that is not
         waited for: the RPC is held back, proven not run and no fault of the cache's.
         """
-        sending = Sending(owner, number, data, now, self.loop.time() + left / 1000.0)
-        sending.timer = self.loop.call_later(max(0.0, time_out) / 1000.0, self.late, sending)
+        begun = self.loop.time()
+        sending = Sending(owner, number, command, now, begun + max(0.0, time_out) / 1000.0,
+                          begun + left / 1000.0)
+        sending.timer = self.loop.call_at(sending.ends, self.late, sending)
         pool = self.pools.get(name)
         known = pool is not None and pool.wanted and pool.address is not None
         if known and self.flights is not None:
@@ -459,7 +471,9 @@
         if sending.over:
             return
         line = sending.line
-        if line is not None and not line.closed:
+        if line is None:
+            outcome = "held"  # it has no connection: never written, and no fault of the cache's
+        elif not line.closed:
             if not line.up:
                 line.queue.remove(sending)
                 outcome = "moot"  # never written; the connection may come up and serve the next
--- a/calicofall/net/clients.py
+++ b/calicofall/net/clients.py
@@ -66,7 +66,7 @@
 
 class Client(Stream):
     def __init__(self, clients: "Clients") -> None:
-        super().__init__()
+        super().__init__(clients.loop)
         self.clients = clients
         self.parser = resp.Parser(self.inward)
         self.turns: deque[Turn] = deque()
@@ -93,8 +93,10 @@
             self._take(command)
         if self.deaf:
             self.inward.drop(len(self.inward))
+        if self.closed or self.closing:
+            return
         hold = self.deaf or self._full()
-        if hold != self.held and not (self.closed or self.closing):
+        if hold != self.held:
             self.held = hold
             self.transport.pause_reading() if hold else self.transport.resume_reading()
 
@@ -157,13 +159,11 @@
             turn.more()
             return
         if not self.turns and not self.closed:
-            if self.deaf:
-                self.bow(self.clients.loop)
+            if self.deaf or (self.clients.leaving and not len(self.inward)):  # what has come is answered
+                self.close()
             elif not self.clients.leaving:
                 self.clients.idle(self)
-            elif not len(self.inward):  # what has come is taken, and still answered
-                self.close()
-        if self.held and not self.deaf:
+        if self.held and not (self.deaf or self.closing):
             self.clients.loop.call_soon(self.came)
 
     def pause_writing(self) -> None:
@@ -193,6 +193,17 @@
         super().resume_writing()
         self.pass_on()
 
+    def close(self) -> None:
+        self.clients.ending(self)
+        super().close()
+
+    def left(self) -> bool:
+        """Whether the client has gone, told of as its end would be. Guards against a pause in reading that
+        hides it, while its commands are sent on one after the other."""
+        if self.held and not self.closed and self.hung_up():
+            self.cut()
+        return self.closed
+
     def lost(self) -> None:
         if self.patience is not None:
             self.patience.cancel()
@@ -216,6 +227,7 @@
         self.silent: OrderedDict[Client, float] = OrderedDict()  # since when, as in the two below
         self.resting: OrderedDict[Client, float] = OrderedDict()
         self.halves: OrderedDict[Client, float] = OrderedDict()
+        self.lingering: dict[Client, None] = {}  # shut for writing; the oldest first
         self.crowded: set[Client] = set()  # of the halves, who has to wait for memory
         self.leaving = False  # each connection closes behind its next answer
         self.denying = False  # PING says no
@@ -230,12 +242,14 @@
         return client
 
     def room(self) -> bool:
-        """Whether there is room for one more: one that never spoke goes for it, or the one idle longest."""
+        """Whether there is room for one more: one that closes goes for it, one that never spoke, or the one
+        idle longest."""
         if len(self.open) + self.others() < self.most:
             return True
         early = self.loop.time() - FRESH
         mute = next((client for client, since in self.silent.items() if since < early), None)
-        idle = mute or next(iter(self.resting), None) or next(iter(self.silent), None)
+        idle = next(iter(self.lingering), None) or mute or next(iter(self.resting), None) or \
+            next(iter(self.silent), None) or next(iter(self.halves), None)
         if idle is not None:
             idle.cut()
         return idle is not None
@@ -243,8 +257,8 @@
     def give_back(self, most: int) -> None:
         """A smaller budget: what rests longest goes for it."""
         self.most = max(1, most)
-        while self.resting and len(self.open) + self.others() > self.most:
-            next(iter(self.resting)).cut()
+        while (self.lingering or self.resting) and len(self.open) + self.others() > self.most:
+            next(iter(self.lingering or self.resting)).cut()
 
     def heard(self, client: Client) -> None:
         if self.silent.pop(client, None) is not None:
@@ -258,6 +272,7 @@
         if begun:
             client.moved = self.loop.time()
             self.halves.setdefault(client, client.moved)
+            self.resting.pop(client, None)  # guards against a close in the middle of a slow client's command
         else:
             self.halves.pop(client, None)
             self.crowded.discard(client)
@@ -285,7 +300,9 @@
         """Guards against clients that hold connections without a byte, or with half a command, for good."""
         now = self.loop.time()
         for client in [client for client, since in self.silent.items() if since < now - self.first]:
-            client.cut()
+            client.close()
+        for client in [client for client in self.open if client.held]:
+            client.left()
         self.thin()
         late = now - self.whole
         for client in [client for client, since in self.halves.items() if since < late]:
@@ -300,9 +317,15 @@
             client, since = next(iter(self.resting.items()))
             if since > early:
                 return
-            self.resting.pop(client)
             client.close()
 
+    def ending(self, client: Client) -> None:
+        """It is owed nothing more: only its peer's end is waited for."""
+        for known in (self.silent, self.resting):
+            known.pop(client, None)
+        self.half(client, False)
+        self.lingering[client] = None
+
     def busy(self, client: Client) -> None:
         self.resting.pop(client, None)
 
@@ -316,11 +339,12 @@
         self.open.discard(client)
         self.silent.pop(client, None)
         self.resting.pop(client, None)
+        self.lingering.pop(client, None)
 
     def part(self) -> None:
         """Close what rests; who has only just come, or has begun a command, may still ask."""
         self.first = HASTE
-        for client in [client for client in self.resting if client not in self.halves]:
+        for client in list(self.resting):
             client.close()
 
     def hurry(self) -> None:
--- a/calicofall/net/discovery.py
+++ b/calicofall/net/discovery.py
@@ -27,7 +27,7 @@
 
 class Watch(Stream):
     def __init__(self, discovery: "Discovery") -> None:
-        super().__init__()
+        super().__init__(discovery.loop)
         self.discovery = discovery
         self.stage, self.left, self.line, self.chunked = "status", 0, bytearray(), False
         self.heard = discovery.loop.time()
--- a/calicofall/net/management.py
+++ b/calicofall/net/management.py
@@ -16,7 +16,7 @@
 
 class Caller(Stream):
     def __init__(self, management: "Management") -> None:
-        super().__init__()
+        super().__init__(management.loop)
         self.management, self.answered = management, False
         self.timer = management.loop.call_later(PATIENCE, self.late)
 
@@ -27,8 +27,6 @@
                 self.call(self.inward.take(end).rstrip(b"\r"))
             elif len(self.inward) > LONGEST:
                 self.answer("-ERR a line too long")
-        if self.answered:
-            self.inward.drop(len(self.inward))  # one line a connection: what follows is nobody's
 
     def call(self, line: bytes) -> None:
         try:
@@ -40,7 +38,7 @@
         if not (self.answered or self.closed):
             self.answered = True
             self.write(text.encode() + b"\n")
-            self.bow(self.management.loop)
+            self.close()
 
     def late(self) -> None:
         if self.answered:  # it does not read its answer
--- a/calicofall/net/proxy.py
+++ b/calicofall/net/proxy.py
@@ -54,9 +54,10 @@
 OFTEN = 0.25  # s between two rounds of upkeep
 WHOLE = 20  # rounds after which all that lives is looked through for what is out of use
 LINGER = 0.5  # s after SIGTERM in which new connections still come
+HELD = {signal.SIGHUP, signal.SIGTERM}  # signals that wait until there is an answer to them
 SAID_OK, SAID_NO = "+OK", "-ERR"  # how an answer to an operator begins
 HEARD = 2.0  # s in which a start waits for the list: an agent that lives says something within them
-LAST = 3.45  # s after SIGTERM at which what is still in hand is given up
+LAST, OUT = 0.45, 0.2  # s over the longest deadline at which what is in hand is given up; then to the end
 log = logging.getLogger("calicofall")
 
 
@@ -70,6 +71,10 @@
         self.sending: Sending | None = None
         self.began: float | None = None  # when its answer began to be passed on
 
+    def command(self, left: float) -> list[bytes]:
+        """What a cache is sent, with `left` (ms) for its answer."""
+        return resp.pieces(words.passed_on(self.parts, left))
+
 
 class Proxy:
     def __init__(self, node: dict, loop: asyncio.AbstractEventLoop, open: Callable = connect) -> None:
@@ -116,7 +121,6 @@
             self.router.fetches = Fetches(turns(FETCHES), self.starts["fetches"], loop.time(),
                                           self.now() / 1000.0)
         self.versions: versions.Versions | None = None
-        self.patience = max([m["hard_deadline"] for m in self.methods.values()], default=3000.0) / 1000.0
         # Guards against many proxies that each hold connections to every cache, and together make their
         # handshakes at once after a start: a herd of fourteen opened 1,050, twice what it used.
         ahead = proxies <= FEW
@@ -127,11 +131,12 @@
         wall = self.now() / 1000.0
         self.caches = Caches(loop, deployment["caps"], of_caches, ahead, open, self.taker, self.bound,
                              self.outcome, self.figures, self.shares, wall - loop.time())
+        self.caches.may = self.may
         # Who is told of commands, answers and calls: at the level "proxy" alone.
         self.noted = self.recorder if self.recorder is not None and self.recorder.notes else None
-        self.clients = Clients(loop, sockets, room, self.patience, self.ask, self.left)
+        self.clients = Clients(loop, sockets, room, self.longest(), self.ask, self.left)
         self.clients.others = self.caches.count
-        self.emptying = Emptying(loop, self.clients)
+        self.emptying = Emptying(loop, self.clients, self.longest)
         self.management = Management(loop, self.call)
         self.caches.shared = self.clients.room
         known, learned = node.get("known") or {}, {}
@@ -162,7 +167,7 @@
                                  self.starts.get("bears"), deployment["rules"],
                                  lambda: len(self.caches.named), self.peers.say,
                                  self.peers.members.there, self.share_out, lent, self.caches.flights, hold,
-                                 self.patience)
+                                 self.longest())
             self.peers.loans = self.limits.heard
         self.witnesses: Witnesses | None = None
         if self.starts.get("witnesses"):
@@ -192,7 +197,6 @@
                 loop, open, node["discovery"], me, self.peers.life, own, document, chance, self.peers.say,
                 self.apply, self.peers.members.belong, self.figures.ended)
             self.peers.versions = self.versions.heard
-            self.caches.may = self.may
 
     def budget(self, parts: int) -> tuple[int, int, int]:
         """Connections, those to caches at most, bytes of commands in hand: of one of so many processes."""
@@ -200,6 +204,10 @@
         # A command in hand, its way to a cache and its answer each take about as much again.
         return sockets, int(sockets * 0.4), max(1, words.memory(self.node) // parts - BASE) << 18
 
+    def longest(self) -> float:
+        """The longest hard deadline (s)."""
+        return max([method["hard_deadline"] for method in self.methods.values()], default=3000.0) / 1000.0
+
     def now(self) -> float:
         return self.loop.time() * 1000.0 + self.offset
 
@@ -279,9 +287,13 @@
         self.router.share_out({name: quota / 1000.0 for name, quota in quotas.items()}, cold and cold / fall)
 
     def may(self, sending: Sending) -> bool:
-        self.versions.current()
-        rpc = sending.owner.rpc
-        return rpc.over or self.router.still(self.now(), rpc, sending.number)
+        """Whether what was decided may still be carried out, looked at right before its first byte leaves."""
+        if self.versions is not None:
+            self.versions.current()
+        call = sending.owner
+        if call.turn is not None:
+            call.turn.client.left()
+        return not call.rpc.over and self.router.still(self.now(), call.rpc, sending.number)
 
     # The life of an RPC
 
@@ -331,9 +343,8 @@
             cache = self.decide(call, self.router.report, now, rpc, len(rpc.sent) - 1, "held", 0.0)
         if cache is not None:
             holds(not rpc.over and now < rpc.until, "nothing is sent for an RPC that is over")
-            data = resp.pieces(words.passed_on(call.parts, rpc.time_out))
             soft = rpc.arrived + self.router.soft(rpc) - now
-            call.sending = self.caches.send(cache, call, len(rpc.sent) - 1, data, now, rpc.time_out,
+            call.sending = self.caches.send(cache, call, len(rpc.sent) - 1, call.command, now, rpc.time_out,
                                             rpc.until - now, soft)
         elif rpc.answer == "exhausted":
             ms = round(rpc.come_back)
@@ -419,8 +430,11 @@
             return
         call.turn = None
         self.over(call)
-        if self.router.left(self.now(), call.rpc) and call.sending is not None:
-            self.caches.give_up(call.sending, "cancelled")
+        off, sending = self.router.left(self.now(), call.rpc), call.sending
+        # Guards against a command that leaves after its client: where caches take no cancelling, what waits
+        # for its connection is withdrawn all the same.
+        if sending is not None and (off or sending.waits()):
+            self.caches.give_up(sending, "cancelled")
         self.soon()
 
     # Time
@@ -489,6 +503,7 @@
         # Guards against dying by SIGTERM while the list is waited for: nothing was taken, so it ends at once.
         task = asyncio.current_task()
         self.loop.add_signal_handler(signal.SIGTERM, task.cancel)
+        signal.pthread_sigmask(signal.SIG_UNBLOCK, HELD)  # what came since the start comes now
         try:
             await self.run()
         except asyncio.CancelledError:
@@ -619,12 +634,11 @@
         if self.lease is not None and self.lease.serving:
             # Clients have another process of this proxy to go to: PING goes on saying yes for it.
             self.emptying.begin(rest=TAKEN, deny=False)
-            self.door.empty()
             self.part()
         else:
             self.emptying.begin(rest=LINGER)
             self.loop.call_later(LINGER, self.part)
-        self.loop.call_later(LAST, self.hasten)
+        self.loop.call_later(self.emptying.span() + LAST, self.hasten)
 
     def part(self) -> None:
         """Nothing new, and the proxy ends with its last connection."""
@@ -637,7 +651,7 @@
             call.rpc.until = min(call.rpc.until, self.now())
             if call.sending is not None and not call.rpc.bound:
                 self.caches.give_up(call.sending, "timeout")
-        self.loop.call_later(0.15, self.end)
+        self.loop.call_later(OUT, self.end)
 
     def leave(self) -> None:
         """Ends once nothing is in hand and every client has what it is owed."""
--- a/calicofall/net/stream.py
+++ b/calicofall/net/stream.py
@@ -1,8 +1,9 @@
 """What every connection has in common: a buffer a direction, the bytes that have left; and the door.
 
-Owns both buffers and the transport, and the socket that listens. Must never hand the transport more while it
-holds some, so that what is still in the buffer is known not to have left, take more connections than there
-is room for, or let an exception out of a callback.
+Owns both buffers and the transport, how a connection is closed, and the socket that listens. Must never hand
+the transport more while it holds some, so that what is still in the buffer is known not to have left, close
+over unread bytes what still owes some, take more connections than there is room for, or let an exception out
+of a callback.
 """
 
 import asyncio
@@ -12,11 +13,13 @@
 import socket
 from collections.abc import Callable, Coroutine
 from contextlib import suppress
+from select import POLLRDHUP, poll
 
 from calicofall.net.buffer import Pieces, RingBuffer
 
 CHUNK = 1 << 16
-LINGER = 0.25  # s in which a peer may read why its connection ends
+LINGER = 0.25  # s in which a peer may read the last bytes of a connection that closes
+DROPPED = 1 << 17  # bytes that are read from one that closes; as much as a system holds for it
 WAITING = 512  # connections that the system holds until they are taken
 A_TURN = 16  # taken in one turn of the loop
 BREATH = 0.05  # s until the next try where there was no room
@@ -25,13 +28,15 @@
 
 
 class Stream(asyncio.BufferedProtocol):
-    def __init__(self) -> None:
+    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+        self.loop = loop
         self.inward, self.outward = RingBuffer(), Pieces()
         self.transport: asyncio.Transport | None = None
         self.stuck = self.closed = self.closing = False
         self.why = "closed"  # what ended it
         self.rising: asyncio.Task | None = None  # while it comes up
-        self.bowing: asyncio.TimerHandle | None = None  # its last bytes are out
+        self.lingering: asyncio.TimerHandle | None = None  # its last bytes are out: when it ends
+        self.dropped = 0  # bytes read behind its end
         self.written = self.handed = 0  # bytes put into the outward buffer; of these, given to the transport
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -48,6 +53,12 @@
 
     def buffer_updated(self, count: int) -> None:
         self.inward.filled(count)
+        if self.closing:  # what comes behind the shutdown is read, so that no reset goes out, and dropped
+            self.inward.drop(len(self.inward))
+            self.dropped += count
+            if self.dropped > DROPPED:  # guards against peers that send without end
+                self.transport.pause_reading()
+            return
         try:
             self.came()
         except Exception as reason:  # guards against one connection's trouble ending the proxy's
@@ -78,8 +89,9 @@
             self.handed += len(chunk)
             self.transport.write(chunk)
         self.departed()
-        if self.closing and not len(self.outward):
-            self.transport.close()
+        if self.closing and self.lingering is None and not (self.stuck or len(self.outward)):
+            self.transport.write_eof()
+            self.lingering = self.loop.call_later(LINGER, self.cut)
 
     def pause_writing(self) -> None:
         self.stuck = True
@@ -89,24 +101,34 @@
         self.flush()
 
     def close(self) -> None:
-        """Close once all that was written has left."""
-        if not self.closing:
+        """A lingering close: shut for writing behind the last byte, then read and drop until the peer ends.
+
+        Guards against a close over unread bytes, which resets the connection and takes with it what the peer
+        has not read yet.
+        """
+        if not (self.closing or self.closed):
             self.closing = True
+            self.inward.drop(len(self.inward))
+            if self.transport is not None:
+                self.transport.resume_reading()  # an end behind unread bytes would not be seen
             self.flush()
 
-    def bow(self, loop: asyncio.AbstractEventLoop) -> None:
-        """The last answer is out. Guards against a close that resets it away: unread input does that."""
-        if self.bowing is None and not self.closed and not len(self.outward):
-            self.transport.write_eof()
-            self.bowing = loop.call_later(LINGER, self.cut)
+    def hung_up(self) -> bool:
+        """Whether the peer has closed, also where reading is paused and its end lies behind unread bytes."""
+        plug = None if self.transport is None else self.transport.get_extra_info("socket")
+        if plug is None or plug.fileno() < 0:
+            return self.closed
+        eye = poll()
+        eye.register(plug.fileno(), POLLRDHUP)
+        return bool(eye.poll(0))
 
     def cut(self) -> None:
         """Close at once; what has not left is lost."""
         if self.closed:
             return
         self.closed = True
-        if self.bowing is not None:
-            self.bowing.cancel()
+        if self.lingering is not None:
+            self.lingering.cancel()
         if self.transport is not None:
             # Guards against a second copy: an abort alone leaves the socket open until the loop's next turn.
             plug = self.transport.get_extra_info("socket")
@@ -211,15 +233,13 @@
             plug.close()
             stream.cut()
 
-    def empty(self) -> None:
-        """Takes all that wait, room or not. Guards against their being reset when the listener closes."""
-        with suppress(OSError):
-            while True:
-                self._take(self.plug.accept()[0], self.make())
-
     def close(self) -> None:
+        """Takes all that wait, room or not, and closes. Guards against a reset of who waits there."""
         if self.plug.fileno() >= 0:
             self.loop.remove_reader(self.plug.fileno())
+            with suppress(OSError):
+                while True:
+                    self._take(self.plug.accept()[0], self.make())
             self.plug.close()
 
 
--- /dev/null
+++ b/tests/test_endings.py
@@ -0,0 +1,324 @@
+"""What is owed when something ends: on real sockets where the system's own order of events matters, on fake
+transports and time elsewhere. Each test first shows that its crossing took place.
+
+Owns a proxy on a loop of its own, with caches and an agent in the test's hand. Must never wait and hope.
+"""
+
+import asyncio
+import fcntl
+import socket
+import sys
+import termios
+import time
+from collections.abc import Iterator
+from select import POLLRDHUP, poll
+
+import pytest
+from helpers import SETTINGS, Desk, Wire, ask, endpoint, reply
+
+from calicofall.net import resp
+from calicofall.net.clients import PIPELINED, REST
+from calicofall.net.proxy import Proxy
+from calicofall.net.stream import LINGER, Door
+
+SHORT = [method | {"hardDeadlineNs": 600_000_000} for method in SETTINGS["methods"]]
+PING = resp.command([b"PING"])
+
+
+def at(plug: socket.socket) -> str:
+    return f"127.0.0.1:{plug.getsockname()[1]}"
+
+
+def unread(plug: socket.socket) -> int:
+    """Bytes that have come and have not been read."""
+    return int.from_bytes(fcntl.ioctl(plug.fileno(), termios.FIONREAD, bytes(4)), sys.byteorder)
+
+
+def waits(plug: socket.socket, count: int) -> None:
+    """Until so many bytes lie at a socket of ours: the system has carried them over."""
+    end = time.monotonic() + 5.0
+    while unread(plug) < count:
+        assert time.monotonic() < end
+        time.sleep(0.001)
+
+
+class Live:
+    """A proxy on real sockets; its loop turns only while told to."""
+
+    def __init__(self, caches: int = 1, **settings: object) -> None:
+        self.loop = asyncio.new_event_loop()
+        self.caches = [socket.create_server(("127.0.0.1", 0)) for _ in range(caches)]
+        node = Desk.node(0, **settings) | {"known": {"index": 1, "snapshot": True, "endpoints": [
+            endpoint(f"c{i}", address=at(plug))
+            for i, plug in enumerate(self.caches)]}}
+        self.proxy = Proxy(node, self.loop)
+        for limit in (self.proxy.router.policy.fleet, self.proxy.router.policy.origin):
+            limit.value, limit.spare = 1000.0, 2_000_000.0
+        self.proxy.caches.ahead = False
+        self.proxy.caches.close()
+        self.proxy.door = Door(self.loop, ("127.0.0.1", 0), self.proxy.clients.room,
+                               self.proxy.clients.admit, shared=True)
+        self.place = self.proxy.door.plug.getsockname()
+        self.plugs: list[socket.socket] = []
+        self.turn()
+
+    def turn(self, span: float = 0.05) -> None:
+        self.loop.run_until_complete(asyncio.sleep(span))
+
+    def client(self, accepted: bool = True) -> socket.socket:
+        plug = socket.create_connection(self.place)
+        plug.settimeout(5.0)
+        self.plugs.append(plug)
+        if accepted:
+            self.turn()
+        return plug
+
+    def cache(self) -> socket.socket:
+        """The next connection that comes to a cache."""
+        self.caches[0].settimeout(5.0)
+        plug = self.caches[0].accept()[0]
+        plug.settimeout(5.0)
+        self.plugs.append(plug)
+        return plug
+
+    def close(self) -> None:
+        for plug in self.plugs + self.caches:
+            plug.close()
+        self.proxy.discovery.stop()
+        self.proxy.caches.close()
+        for client in list(self.proxy.clients.open):
+            client.cut()
+        self.proxy.door.close()
+        self.turn()
+        self.loop.close()
+
+
+@pytest.fixture
+def live() -> Iterator[Live]:
+    one = Live()
+    yield one
+    one.close()
+
+
+def whole(plug: socket.socket) -> bytes:
+    """All that comes up to the peer's end; a reset raises."""
+    data = b""
+    while piece := plug.recv(1 << 16):
+        data += piece
+    return data
+
+
+# The proxy closes a client's connection
+
+
+def test_a_close_over_unread_bytes_takes_no_answer_with_it(live: Live) -> None:
+    """A command came in the instant of the close: the reset that followed destroyed what was in flight."""
+    plug = live.client()
+    plug.sendall(PING)
+    live.turn()
+    stream = next(iter(live.proxy.clients.resting))
+    mine = stream.transport.get_extra_info("socket")
+    plug.sendall(ask())
+    waits(mine, 1)  # the loop has not turned: it is unread
+    live.proxy.clients.part()
+    assert unread(mine) and stream.closing
+    live.turn()
+    assert whole(plug) == b"+PONG\r\n"  # and no reset
+    assert not live.proxy.calls and live.proxy.figures.totals()["completed"] == 0  # nor is it carried out
+    plug.close()
+    live.turn()
+    assert not live.proxy.clients.open  # its end is waited for no longer than it takes
+
+
+def test_an_answer_owed_while_emptying_is_followed_by_an_end_and_no_reset(live: Live) -> None:
+    """Seventeen commands at once: one lies unread as the sixteenth answer goes out and all ends."""
+    plug = live.client()
+    commands = b"".join(ask(key=1) for _ in range(PIPELINED))
+    plug.sendall(commands)
+    live.turn()
+    stream = next(iter(live.proxy.clients.open))
+    assert len(stream.turns) == PIPELINED and stream.held
+    live.proxy.emptying.begin()
+    caches = [live.cache() for _ in range(PIPELINED)]
+    plug.sendall(ask(key=1))
+    waits(stream.transport.get_extra_info("socket"), 1)
+    for cache in caches:
+        cache.sendall(reply(b"last"))
+    live.turn(0.1)
+    data = b""
+    while len(data) < len(b"$4\r\nlast\r\n") * PIPELINED:
+        data += plug.recv(1 << 16)
+    # What came before the shutdown is taken and answered; nothing else may be lost.
+    if len(live.proxy.calls):
+        live.cache().sendall(reply(b"last"))
+        live.turn(0.1)
+    assert set((data + whole(plug)).split(b"$4\r\nlast\r\n")) == {b""}
+
+
+def test_a_lingering_connection_goes_for_the_next_and_ends_by_itself() -> None:
+    desk = Desk(sockets=40)  # eight connections
+    clients = [desk.client() for _ in range(8)]
+    for client in clients:
+        client.feed(PING)
+    desk.proxy.clients.part()
+    assert all(client.ended and client.open for client in clients)
+    assert desk.client() is not None and sum(client.open for client in clients) == 7
+    desk.loop.run(LINGER + 0.01)
+    assert not any(client.open for client in clients)
+
+
+def test_a_command_that_comes_slowly_is_no_rest() -> None:
+    """Where many rest, connections that rest close: clients that write slowly lost theirs in mid-command."""
+    desk = Desk(sockets=48)
+    clients, data = [desk.client() for _ in range(6)], ask()
+    for client in clients:
+        client.feed(data[:10])
+    desk.proxy.upkeep()
+    desk.loop.run(4 * REST)
+    assert all(client.open and not client.ended for client in clients)
+
+
+# A client leaves
+
+
+def test_a_departure_is_seen_while_reading_is_paused(live: Live) -> None:
+    """A client sends much at once and goes: command after command was sent on for it."""
+    plug = live.client()
+    plug.sendall(b"".join(ask(key=1) for _ in range(4 * PIPELINED)))
+    live.turn()
+    stream = next(iter(live.proxy.clients.open))
+    mine = stream.transport.get_extra_info("socket")
+    caches = [live.cache() for _ in range(PIPELINED)]
+    plug.close()
+    eye = poll()
+    eye.register(mine.fileno(), POLLRDHUP)
+    assert eye.poll(5000) and stream.held and not stream.closed  # it has gone, and nothing tells the loop
+    sent = live.proxy.figures.sends
+    assert sent == PIPELINED
+    for cache in caches:
+        cache.sendall(reply())
+    live.turn(0.02)
+    assert live.proxy.figures.sends == sent and not live.proxy.calls
+    live.proxy.clients.sweep()
+    assert stream.closed
+
+
+def test_a_paused_client_that_left_holds_nothing_for_long(live: Live) -> None:
+    plug = live.client()
+    plug.sendall(b"".join(ask(key=1) for _ in range(4 * PIPELINED)))
+    live.turn()
+    stream = next(iter(live.proxy.clients.open))
+    plug.close()
+    live.proxy.upkeep()  # no answer has come from anywhere
+    assert stream.closed and not live.proxy.calls and not live.proxy.clients.weight
+
+
+@pytest.mark.parametrize("cancel", [True, False])
+def test_nothing_is_sent_for_a_client_that_left_before_a_connection_came_up(cancel: bool) -> None:
+    """Where caches take no cancelling, the command went out with the connection, long after its client."""
+    desk = Desk(caps=SETTINGS["caps"] | {"cancel": cancel}).spacious()
+    client = desk.client()
+    client.feed(ask())
+    assert len(desk.loop.opened) == 1 and desk.proxy.calls  # decided; its connection is on the way
+    client.abort()
+    desk.loop.run(0.15)
+    assert not desk.proxy.calls
+    for stream, _ in desk.loop.opened:
+        if not stream.closed:
+            assert not Wire(stream).sent
+    assert not desk.proxy.router.hand and desk.proxy.figures.sends == 0
+
+
+# A connection to a cache comes up late
+
+
+def test_what_a_late_command_tells_its_cache_is_what_is_left() -> None:
+    """It told the time that was left when the connection was asked for, more than a second before."""
+    desk = Desk(caps=SETTINGS["caps"] | {"dialTimeoutNs": 2_000_000_000}).spacious()
+    client = desk.client()
+    client.feed(ask("order", patience="1500"))
+    desk.loop.run(1.2)
+    line = desk.line()
+    told = int(line.sent.split(b"d=")[1].split(b",")[0])
+    assert 290 <= told <= 300
+    line.feed(reply(b"late"))
+    assert client.sent == b"$4\r\nlate\r\n"
+
+
+def test_nothing_leaves_in_the_instant_in_which_its_time_is_over() -> None:
+    """Both came due in one turn, and the connection was first."""
+    desk = Desk(caps=SETTINGS["caps"] | {"dialTimeoutNs": 2_000_000_000}).spacious()
+    client = desk.client()
+    client.feed(ask("order", patience="1500"))
+    desk.loop.clock += 1.5  # the timer is due and has not fired
+    line = desk.line()
+    assert not line.sent and not client.sent
+    desk.loop.run(0.01)
+    assert client.sent.startswith(b"-BUSY") and client.sent.count(b"\r\n") == 1 and not desk.proxy.calls
+
+
+def test_a_repeat_whose_window_passed_on_the_way_is_not_sent() -> None:
+    """Decided within 300 ms of the first transmission, it left when the connection came up, after them."""
+    methods = [method | {"windowNs": 300_000_000} for method in SETTINGS["methods"]]
+    desk = Desk(methods=methods, caps=SETTINGS["caps"] | {"dialTimeoutNs": 2_000_000_000}).spacious()
+    client = desk.client()
+    client.feed(ask("save"))
+    desk.line().feed(b"-ERR failed\r\n")  # it may have run
+    assert len(desk.loop.opened) == 2  # the repeat is decided
+    desk.loop.run(0.35)
+    assert not desk.line().sent
+    desk.loop.run(0.01)
+    assert client.sent.count(b"\r\n") == 1 and not client.sent.startswith(b"$") and not desk.proxy.calls
+
+
+# SIGTERM
+
+
+def test_what_waits_in_the_backlog_is_taken_and_answered(live: Live) -> None:
+    """The listener closed with connections that the system had accepted: they were reset with their RPCs."""
+    plugs = [live.client(accepted=False) for _ in range(5)]
+    for plug in plugs:
+        plug.sendall(ask(key=1))
+    assert not live.proxy.clients.open  # none is taken yet
+    live.proxy.emptying.begin()
+    live.proxy.part()
+    live.turn()
+    for _ in plugs:
+        live.cache().sendall(reply(b"last"))
+    live.turn(0.1)
+    assert [whole(plug) for plug in plugs] == [b"$4\r\nlast\r\n"] * 5
+    with pytest.raises(ConnectionRefusedError):
+        live.client(accepted=False)
+
+
+def test_half_a_command_at_the_end_of_rest_gets_its_answer(live: Live) -> None:
+    plug, data = live.client(), ask(key=1)
+    plug.sendall(data[:30])
+    live.turn()
+    live.proxy.emptying.begin()
+    live.proxy.clients.part()
+    assert len(live.proxy.clients.halves) == 1
+    plug.sendall(data[30:])
+    live.turn()
+    live.cache().sendall(reply(b"last"))
+    live.turn()
+    assert whole(plug) == b"$4\r\nlast\r\n"
+
+
+def test_all_is_answered_before_a_kill_that_comes_early_where_deadlines_are_short() -> None:
+    """SIGKILL comes 0.7 s behind the longest deadline: at 1.3 s here, while emptying took 3.6 s."""
+    desk = Desk(methods=SHORT).spacious()
+    desk.proxy.upkeep()
+    late, slow = desk.client(), desk.client()
+    late.feed(ask()[:30])  # never whole
+    data = ask(patience="600")
+    slow.feed(data[:30])
+    desk.sigterm()
+    desk.loop.run(0.75)
+    slow.feed(data[30:])
+    desk.line()  # a cache that says nothing
+    assert desk.proxy.calls and not late.sent
+    desk.loop.run(0.4)
+    assert slow.sent.startswith(b"-") and late.sent.startswith(b"-ERR") and not desk.proxy.calls
+    desk.loop.run(0.12)
+    assert desk.proxy.ended.done()
