Lists may come indented; a silent service is heard within the grace; signals wait for a start

Read off the code and shown by tests that fail without it: each line of a watch was taken for a whole message, so an indented list opened it anew without end (Watch._lines); a message ends now with the line that closes what it opened, and half of one ends the watch at the next sign of life. A former watch's bytes are nobody's. Pauses between tries at a silent service grew to 0.55 s, over the 0.25 s after which news binds. SIGHUP between the start and its handler killed the process: both signals are blocked until the loop answers them.

--- a/calicofall/__main__.py
+++ b/calicofall/__main__.py
@@ -4,6 +4,13 @@
 line and a non-zero exit.
 """
 
+import signal
+
+if __name__ == "__main__":
+    # Guards against a start that SIGHUP or SIGTERM ends on its way: the proxy lets them through once it has
+    # an answer to them; other commands do at once.
+    signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP, signal.SIGTERM})
+
 import asyncio
 import os
 import sys
@@ -72,6 +79,8 @@
 @click.pass_context
 def main(context: click.Context) -> None:
     """A router for fleets of cache servers. Without a command it serves."""
+    if context.invoked_subcommand not in (None, "serve"):
+        signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP, signal.SIGTERM})
     if context.invoked_subcommand is None:
         context.invoke(serve)
 
--- a/calicofall/net/discovery.py
+++ b/calicofall/net/discovery.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import logging
+import re
 from collections.abc import Callable
 
 import orjson
@@ -15,7 +16,9 @@
 from calicofall.start.line import Line
 
 SILENT = 3.0  # s without a line, where one comes every 2 s at the latest
-LONGEST = 1 << 20  # bytes of a line
+LONGEST = 1 << 20  # bytes of a list or of its changes
+BEGINS = re.compile(rb'\s*\{\s*(["}]|$)')  # how a message's first line begins
+TEXT = re.compile(rb'"(?:[^"\\]|\\.)*"')  # in JSON
 HEAD = 8192
 LONGEST_AFTER = 60.0  # s that a service may say to stay away
 log = logging.getLogger("calicofall")
@@ -30,7 +33,8 @@
         super().__init__(discovery.loop)
         self.discovery = discovery
         self.stage, self.left, self.line, self.chunked = "status", 0, bytearray(), False
-        self.heard = discovery.loop.time()
+        self.whole, self.depth = bytearray(), 0  # lines of a message that is not whole; what is open in it
+        self.asked = self.heard = discovery.loop.time()
         self.refused = False  # answered, but not with a list
         self.after = 0.0  # s that it said to stay away
 
@@ -100,16 +104,28 @@
 
     def _lines(self, data: bytes) -> None:
         self.line += data
-        if len(self.line) > LONGEST:
+        if len(self.line) + len(self.whole) > LONGEST:
             raise Wrong("a line too long")
         *whole, rest = self.line.split(b"\n")
         self.line = bytearray(rest)
         for line in whole:
+            if self.discovery.watch is not self:  # guards against a former watch's news behind a later one's
+                return
             if not line.strip():
+                if self.whole:  # guards against half a message that would swallow all that comes behind it
+                    raise Wrong("a message that does not end")
                 self.discovery.answers()  # nothing has changed
-            else:
+                continue
+            if not (self.whole or BEGINS.match(line)):
+                raise Wrong(f"no list: {bytes(line[:20])!r}")
+            # Guards against lists that come indented: a message ends with the line that closes all it opened.
+            bare = TEXT.sub(b"", line)
+            self.depth += bare.count(b"{") + bare.count(b"[") - bare.count(b"}") - bare.count(b"]")
+            self.whole += line
+            if self.depth <= 0:
+                message, self.whole, self.depth = bytes(self.whole), bytearray(), 0
                 try:
-                    self.discovery.line_came(line)
+                    self.discovery.line_came(message)
                 except ValueError as reason:
                     raise Wrong(f"no list: {str(reason)[:60]}") from None
 
@@ -221,7 +237,7 @@
         elif fresh and self.line.senses():
             self.queue()  # guards against a service that comes back to all its watches at once
         else:
-            self.wait(self.line.broke(self.loop.time()))
+            self.wait(self.line.broke(self.loop.time(), self.loop.time() - watch.asked))
 
     def once_more(self, part: float) -> None:
         """The list is asked for again, for peers know of a later one; their word is not taken for it. `part`
--- a/calicofall/start/line.py
+++ b/calicofall/start/line.py
@@ -52,12 +52,15 @@
         self.slot = self.grid.next(now, 2.0 * part)
         return self.slot
 
-    def broke(self, now: float) -> float:
-        """A watch broke off, or nobody answered: when to try again, the crowd aside."""
+    def broke(self, now: float, took: float = 0.0) -> float:
+        """A watch broke off, or nobody answered, after `took` (s): when to try again, the crowd aside."""
         if self.grid is not None and self.senses():  # guards against a fleet at a service that says nothing
             self.slot = self.grid.next(now + self.grid.gap / 2)
             return self.slot
-        self.pause = min(max(UNHEARD, self.pause), max(SOON, self.pause * 2))
+        # Guards against a pause into which a silent service comes back: what it tells then binds at once. A
+        # try that took its time is no spinning; one that refuses is overbooked, and asked the less.
+        silent = took > UNHEARD and not self.refusals
+        self.pause = SOON if silent else min(max(UNHEARD, self.pause), max(SOON, self.pause * 2))
         return now + self.pause * self.chance.uniform(0.8, 1.1)
 
     def refused(self, now: float, after: float = 0.0) -> float:
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -6,21 +6,30 @@
 
 import asyncio
 import fcntl
+import json
+import os
+import signal
 import socket
+import subprocess
 import sys
 import termios
 import time
 from collections.abc import Iterator
+from pathlib import Path
+from random import Random
 from select import POLLRDHUP, poll
 
 import pytest
-from helpers import SETTINGS, Desk, Wire, ask, endpoint, reply
+from helpers import HEAD, SETTINGS, Desk, Loop, Wire, ask, endpoint, reply
 
 from calicofall.net import resp
 from calicofall.net.clients import PIPELINED, REST
+from calicofall.net.discovery import Discovery
 from calicofall.net.proxy import Proxy
 from calicofall.net.stream import LINGER, Door
+from calicofall.start.line import Line
 
+ROOT = Path(__file__).parents[1]
 SHORT = [method | {"hardDeadlineNs": 600_000_000} for method in SETTINGS["methods"]]
 PING = resp.command([b"PING"])
 
@@ -322,3 +331,104 @@
     assert slow.sent.startswith(b"-") and late.sent.startswith(b"-ERR") and not desk.proxy.calls
     desk.loop.run(0.12)
     assert desk.proxy.ended.done()
+
+
+@pytest.mark.parametrize("number", [signal.SIGHUP, signal.SIGTERM])
+def test_a_signal_before_there_is_an_answer_to_it_ends_no_start_by_force(number: int, tmp_path: Path,
+                                                                         ) -> None:
+    """SIGHUP on the way up killed the process: by default it ends one."""
+    with socket.create_server(("127.0.0.1", 0)) as agent:
+        with socket.create_server(("127.0.0.1", 0)) as plug:
+            listen = at(plug)
+        node = Desk.node(0) | {"listen": listen, "discovery": at(agent)}
+        (tmp_path / "node.json").write_text(json.dumps(node))
+        process = subprocess.Popen(
+            [sys.executable, "-m", "calicofall", "serve"], cwd=ROOT, stderr=subprocess.PIPE,
+            env=os.environ | {"PROXY_CONFIG": str(tmp_path / "node.json"), "TMPDIR": str(tmp_path)})
+        try:
+            masks, end = {}, time.monotonic() + 10.0
+            while not int(masks.get("SigBlk", "0"), 16) >> (number - 1) & 1:
+                assert process.poll() is None and time.monotonic() < end
+                masks = dict(line.split(":\t") for line in
+                             Path(f"/proc/{process.pid}/status").read_text().splitlines() if "Sig" in line)
+            process.send_signal(number)
+            assert not int(masks["SigCgt"], 16) >> (number - 1) & 1  # nothing there would have caught it
+            agent.settimeout(10.0)
+            if number == signal.SIGHUP:
+                agent.accept()[0].close()  # it has come as far as asking for the list
+                process.send_signal(signal.SIGTERM)
+            said = process.communicate(timeout=20.0)[1].decode()
+            assert process.returncode == 0, said
+            assert ("configuration reread" in said) is (number == signal.SIGHUP)
+        finally:
+            process.kill()
+            process.wait()
+
+
+# A watch ends
+
+
+LISTED = b'{"index": %d, "snapshot": true, "endpoints": []}\n'
+
+
+def chunk(data: bytes) -> bytes:
+    return b"%x\r\n%b\r\n" % (len(data), data)
+
+
+def watching() -> tuple[Loop, Discovery, list]:
+    loop, told = Loop(), []
+    discovery = Discovery(loop, loop.open, "10.2.0.1:8500", 41, Line(Random(1)),
+                          lambda *news: told.append(news[1]), lambda: None, lambda phase: None)
+    discovery.start()
+    return loop, discovery, told
+
+
+@pytest.mark.parametrize("piece", [1, 7, 4096])
+def test_a_list_may_come_indented(piece: int) -> None:
+    """Each line of it was taken for a message, and the watch opened anew without end."""
+    loop, discovery, told = watching()
+    news = json.dumps({"index": 42, "snapshot": True, "endpoints": [endpoint('c1"{['), endpoint("c2")]},
+                      indent=2).encode()
+    data = HEAD + b"".join(map(chunk, (news + b"\n", b"\n", LISTED % 43, news.replace(b"42", b"44") + b"\n")))
+    wire = Wire(loop.opened[-1][0])
+    while data:
+        wire.feed(data[:piece])
+        data = data[piece:]
+    assert told == [42, 43, 44] and wire.open and len(loop.opened) == 1
+
+
+def test_half_a_message_swallows_nothing_that_comes_behind_it() -> None:
+    loop, discovery, told = watching()
+    wire = Wire(loop.opened[-1][0])
+    wire.feed(HEAD + chunk(b'{"index": 42, "endpoints": [\n'))
+    assert wire.open and not told
+    wire.feed(chunk(b"\n"))  # the sign of life of a watch that has nothing more to say
+    assert not wire.open and discovery.down
+
+
+def test_a_former_watch_says_nothing_behind_a_later_one() -> None:
+    """Old bytes of a watch that was replaced: its list would stand until the next change."""
+    loop, discovery, told = watching()
+    old = loop.opened[-1][0]
+    Wire(old).feed(HEAD + chunk(LISTED % 42))
+    discovery.watch = None  # as while the next one is opened
+    discovery.ask()
+    assert loop.opened[-1][0] is not old and not old.closed
+    old.transport.feed(chunk(LISTED % 7))
+    assert told == [42] and discovery.since == 42
+
+
+def test_a_service_that_comes_back_is_heard_within_the_grace() -> None:
+    """Pauses between two tries grew to half a second: what it tells at its return binds after 0.25 s."""
+    loop, discovery, _ = watching()
+    gaps, last = [], 0.0
+    for _ in range(6):  # it takes connections, and says nothing
+        wire = Wire(loop.opened[-1][0])
+        tried = len(loop.opened)
+        while wire.open:
+            loop.run(0.01)
+        last = loop.time()
+        while len(loop.opened) == tried:
+            loop.run(0.01)
+        gaps.append(loop.time() - last)
+    assert max(gaps) < 0.15
