--- a/calicofall/net/keep.py
+++ b/calicofall/net/keep.py
@@ -21,18 +21,18 @@
 class Keep:
     def __init__(self, loop: asyncio.AbstractEventLoop, folder: str, name: str,
                  what: Callable[[], bytes | None]) -> None:
-        self.loop, self.folder, self.name, self.what = loop, folder, name, what
+        self.loop, self.folder, self.what = loop, folder, what
         self.path = os.path.join(folder, f"{quote(name, safe='')}.snapshot")
         self.silent = False  # trouble has been told
         self.busy: asyncio.Future | None = None
         self.timer: asyncio.TimerHandle | None = None
 
-    def load(self, wall: float, oldest: float) -> tuple[dict, dict] | None:
+    def load(self, whose: str, wall: float, oldest: float) -> tuple[dict, dict] | None:
         """What counts of a former life's file; else one log line, and an ordinary start."""
         try:
             with open(self.path, "rb") as file:
                 data = file.read(snapshot.LARGEST + 1)
-            known, learned, age = snapshot.read(data, self.name, wall, oldest)
+            known, learned, age = snapshot.read(data, whose, wall, oldest)
         except FileNotFoundError:
             return None
         except (OSError, snapshot.Unusable) as reason:
--- a/calicofall/net/proxy.py
+++ b/calicofall/net/proxy.py
@@ -143,7 +143,8 @@
         self.keep: Keep | None = None
         if "snapshot" in self.starts:
             self.keep = Keep(loop, self.starts["snapshot"], node["name"], self.snapshot)
-            if (held := self.keep.load(wall, self.starts["oldest"])) is not None:
+            whose = snapshot.whose(node["name"], node["settings"], node["discovery"])
+            if (held := self.keep.load(whose, wall, self.starts["oldest"])) is not None:
                 known, learned = held
         grid = Grid(me, proxies, room_told, loop.time(), wall) if room_told else None
         line = Line(chance, proxies, (deployment["rules"].get("ask_every") or 10_000.0) / 2000.0, grid)
@@ -239,7 +240,8 @@
         """What the next life may begin from; nothing while the list is not known to hold."""
         if not self.discovery.live:
             return None
-        return snapshot.write(self.node["name"], self.now() / 1000.0, self.caches.known(self.discovery.since),
+        whose = snapshot.whose(self.node["name"], self.node["settings"], self.discovery.host)
+        return snapshot.write(whose, self.now() / 1000.0, self.caches.known(self.discovery.since),
                               self.router.learned(self.now()))
 
     # What the list says
@@ -499,7 +501,8 @@
         self.loop.set_exception_handler(self.trouble)
         if self.node.get("mgmt"):
             self.management.open(words.place(self.node["mgmt"]))
-        self.lease = Lease(self.node["name"], tempfile.gettempdir())
+        # Guards against proxies of one name for two customers, that would take each other for a replacement.
+        self.lease = Lease(f"{self.node['name']}-{self.node['listen']}", tempfile.gettempdir())
         # Guards against dying by SIGTERM while the list is waited for: nothing was taken, so it ends at once.
         task = asyncio.current_task()
         self.loop.add_signal_handler(signal.SIGTERM, task.cancel)
--- a/calicofall/start/snapshot.py
+++ b/calicofall/start/snapshot.py
@@ -1,8 +1,8 @@
 """What a former life left behind: the last list, and what was learned, as bytes.
 
 Owns the form, its version and its checksum, and what of it counts. Must never raise on bytes of any kind
-anything but Unusable, take what another proxy or a later clock wrote, or make more of an old list than one
-that is known to be old.
+anything but Unusable, take what another proxy, other settings or a later clock wrote, or make more of an old
+list than one that is known to be old.
 
 The file: `calicofall-snapshot 1 DIGEST` and a line feed, then a JSON object. The digest covers all of it, so
 that a file cut short anywhere, or changed in one byte, is none. The age is counted on the system's clock,
@@ -30,6 +30,13 @@
     return blake2b(body, digest_size=16).hexdigest().encode()
 
 
+def whose(name: str, settings: dict[str, Any], discovery: str) -> str:
+    """Whom a snapshot is for. Guards against proxies of one name that share a folder, and against usual times
+    and limits that outlive the settings under which they were found."""
+    told = orjson.dumps([settings, discovery], option=orjson.OPT_SORT_KEYS)
+    return f"{name} {digest(told)[:16].decode()}"
+
+
 def write(name: str, wall: float, known: dict[str, Any], learned: dict[str, Any]) -> bytes:
     """`known`: the list in discovery's form; `learned`: plain values; `wall`: the system's clock (s)."""
     body = orjson.dumps({"proxy": name, "at": wall, "known": known, "learned": learned})
@@ -50,7 +57,7 @@
         held = orjson.loads(body)
         age = wall - float(held["at"])
         if held["proxy"] != name:
-            raise Unusable(f"of another proxy, {str(held['proxy'])[:40]}")
+            raise Unusable(f"of another proxy or other settings, {str(held['proxy'])[:40]}")
         if age < -AHEAD:
             raise Unusable(f"from the future, by {-age:.0f} s")
         if age > oldest:
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -432,3 +432,20 @@
             loop.run(0.01)
         gaps.append(loop.time() - last)
     assert max(gaps) < 0.15
+
+
+# A cache's answer breaks off
+
+
+def test_an_answer_that_breaks_off_is_told_to_the_module() -> None:
+    """Suspected of being kept from it; found sound."""
+    desk, value = Desk().spacious(), Random(1).randbytes(100_000)
+    client = desk.client()
+    client.feed(ask())
+    line = desk.line()
+    policy = desk.proxy.router.policy
+    line.feed(reply(value)[:60_000])
+    assert client.sent.startswith(b"$100000\r\n") and not sum(policy.resets.sums)
+    line.abort()
+    assert sum(policy.resets.sums) == 1.0 and not policy.fleet.held
+    assert not client.open and not desk.proxy.calls and not desk.proxy.router.hand
--- a/tests/test_start.py
+++ b/tests/test_start.py
@@ -467,6 +467,21 @@
     assert not list(tmp_path.glob(".snapshot-*"))
 
 
+def test_a_life_under_other_settings_or_at_another_agent_begins_anew(tmp_path: Path) -> None:
+    """Two customers' proxies of one name in one folder; a proxy whose settings were changed meanwhile."""
+    first = started(snapshot=str(tmp_path)).proxy
+    first.router.policy.typical["read"], first.discovery.heard = 9.0, True
+    first.keep.write(first.snapshot())
+    assert started(snapshot=str(tmp_path)).proxy.router.policy.typical["read"] == 9.0
+    first.discovery.move("10.2.0.9:8500")  # its list is another service's from here on
+    first.discovery.heard = True
+    first.keep.write(first.snapshot())
+    assert started(snapshot=str(tmp_path)).proxy.router.policy.typical["read"] is None
+    node = first.node["settings"]
+    assert snapshot.whose("n0", node, "a:1") != snapshot.whose("n0", node | {"me": 1}, "a:1")
+    assert snapshot.whose("n0", node, "a:1") == snapshot.whose("n0", dict(reversed(node.items())), "a:1")
+
+
 def test_a_disk_that_takes_nothing_costs_the_snapshot_alone(tmp_path: Path,
                                                             caplog: pytest.LogCaptureFixture) -> None:
     (tmp_path / "file").write_bytes(b"")
@@ -475,7 +490,7 @@
         for _ in range(3):
             keep.write(b"data")  # no folder can be made there
     assert len([r for r in caplog.records if r.message == "snapshot not written"]) <= 1
-    assert keep.load(time.time(), 30.0) is None
+    assert keep.load("n0", time.time(), 30.0) is None
     good = Keep(Loop(), str(tmp_path), "n0", lambda: b"data")
     good.write(b"old")
     replace, os.replace = os.replace, None
