--- a/calicofall/net/proxy.py
+++ b/calicofall/net/proxy.py
@@ -480,6 +480,7 @@
             self.router.shared(parts)
 
     def upkeep(self) -> None:
+        self.loop.call_later(OFTEN, self.upkeep)  # first: guards against one fault that ends all upkeep
         self.share()
         if "limits found" not in self.phases.reached and self.router.settled():
             self.reach("limits found")
@@ -492,7 +493,6 @@
             self.shown = aside
             log.debug("aside", extra={"caches": ",".join(aside) or None})
         gc.collect(0 if self.rounds % WHOLE else 2)
-        self.loop.call_later(OFTEN, self.upkeep)
 
     # Start and end
 
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -449,3 +449,17 @@
     line.abort()
     assert sum(policy.resets.sums) == 1.0 and not policy.fleet.held
     assert not client.open and not desk.proxy.calls and not desk.proxy.router.hand
+
+
+# A fault of our own
+
+
+def test_a_fault_in_one_round_of_upkeep_does_not_end_it() -> None:
+    """The next round was asked for last: silent clients and half commands would have been kept for good."""
+    desk, silent = Desk(), None
+    sweep, desk.proxy.clients.sweep = desk.proxy.clients.sweep, lambda: 1 / 0
+    with pytest.raises(ZeroDivisionError):
+        desk.proxy.upkeep()
+    desk.proxy.clients.sweep, silent = sweep, desk.client()
+    desk.loop.run(3.0)
+    assert not silent.open
