--- a/calicofall/net/caches.py
+++ b/calicofall/net/caches.py
@@ -33,11 +33,11 @@
 log = logging.getLogger("calicofall")
 
 
-class Sending:
+class Transmission:
     """One transmission on its way."""
 
-    __slots__ = ("owner", "number", "command", "at", "ends", "last", "end", "line", "timer", "over", "sink",
-                 "bound", "counted")
+    __slots__ = ("owner", "number", "command", "at", "ends", "last", "end", "connection", "timer", "over",
+                 "sink", "bound", "counted")
 
     def __init__(self, owner: Any, number: int, command: Callable[[float], list[bytes]], at: float,
                  ends: float, last: float) -> None:
@@ -46,7 +46,7 @@
         self.ends = ends  # the loop's time until which its answer is waited for
         self.last = last  # and at which its RPC is over: till then it may be
         self.end = 0  # where its last byte stands among all that its connection wrote
-        self.line: Line | None = None
+        self.connection: Connection | None = None
         self.timer: asyncio.TimerHandle | None = None
         self.over = False
         self.sink: Sink | None = None  # who takes a long answer as it comes
@@ -55,7 +55,7 @@
 
     def waits(self) -> bool:
         """Whether its last byte has not left: it can be withdrawn as never run."""
-        return self.line is None or self.line.proven(self)
+        return self.connection is None or self.connection.proven(self)
 
 
 class Sink(Protocol):
@@ -66,14 +66,14 @@
     def piece(self, data: bytes) -> None: ...
 
 
-class Line(Stream):
+class Connection(Stream):
     """A connection to a cache, with the transmissions that wait for an answer in their order."""
 
     def __init__(self, pool: "Pool") -> None:
         super().__init__(pool.caches.loop)
         self.pool, self.place = pool, pool.address
         self.parser = resp.Replies(self.inward)
-        self.queue: deque[Sending] = deque()
+        self.queue: deque[Transmission] = deque()
         self.spoilt = False  # what came is no answer: what waits here has failed and may have run
         self.moved, self.watcher = 0.0, None  # when an answer that is not whole grew last; who looks after it
         self.eye: poll | None = None
@@ -88,31 +88,31 @@
         if (plug := self.transport.get_extra_info("socket")) is not None:
             self.eye = poll()
             self.eye.register(plug.fileno(), POLLIN)
-        for sending in list(self.queue):
-            self._put(sending)
+        for transmission in list(self.queue):
+            self._put(transmission)
         if not self.queue:
             self.rest()
 
-    def send(self, sending: Sending) -> None:
-        sending.line = self
-        self.queue.append(sending)
+    def send(self, transmission: Transmission) -> None:
+        transmission.connection = self
+        self.queue.append(transmission)
         if self.up:
-            self._put(sending)
+            self._put(transmission)
 
-    def _put(self, sending: Sending) -> None:
+    def _put(self, transmission: Transmission) -> None:
         # Guards against all that changed while it waited for its connection: its client left, its time or the
         # window for repeats is over, the settings are others or no longer proved.
-        left = sending.ends - self.loop.time()
-        if left <= 0.0 or not self.pool.caches.may(sending):
-            self.queue.remove(sending)
-            sending.line = None  # guards against a time-out or a departure before that is told
-            self.loop.call_soon(self.pool.caches.done, sending, "held")
+        left = transmission.ends - self.loop.time()
+        if left <= 0.0 or not self.pool.caches.may(transmission):
+            self.queue.remove(transmission)
+            transmission.connection = None  # guards against a time-out or a departure before that is told
+            self.loop.call_soon(self.pool.caches.done, transmission, "held")
             if not self.queue and self.up:
                 self.rest()
             return
-        data = sending.command(left * 1000.0)
-        sending.end = self.written + sum(map(len, data))
-        self.unsent.append(sending.end)
+        data = transmission.command(left * 1000.0)
+        transmission.end = self.written + sum(map(len, data))
+        self.unsent.append(transmission.end)
         for piece in data:
             self.write(piece)
 
@@ -172,13 +172,13 @@
             self.came()
 
     def answered(self, value: resp.Value) -> None:
-        sending = self.queue.popleft()
-        holds(sending.line is self, "a reply belongs to its connection's first transmission")
+        transmission = self.queue.popleft()
+        holds(transmission.connection is self, "a reply belongs to its connection's first transmission")
         self.late = False
         if not self.queue:
             self.rest()
         # What is over by now was given up: its reply is read past, and matched to nothing.
-        self.pool.caches.done(sending, *read(value))
+        self.pool.caches.done(transmission, *read(value))
 
     def look(self) -> None:
         """Guards against answers that begin and do not end, which were waited for until time was up."""
@@ -215,26 +215,26 @@
     def rests(self) -> bool:
         return self.up and not self.queue
 
-    def proven(self, sending: Sending) -> bool:
+    def proven(self, transmission: Transmission) -> bool:
         """Whether its last byte has not left: it has not run."""
-        return not self.up or sending.end > self.handed
+        return not self.up or transmission.end > self.handed
 
-    def shares(self, sending: Sending) -> bool:
+    def shares(self, transmission: Transmission) -> bool:
         """Whether it has left on a connection where others wait, too: it can't be called off alone."""
-        return not (self.closed or self.proven(sending) or
-                    all(other.over or other is sending for other in self.queue))
+        return not (self.closed or self.proven(transmission) or
+                    all(other.over or other is transmission for other in self.queue))
 
     def lost(self) -> None:
-        self.pool.lines.pop(self, None)
+        self.pool.connections.pop(self, None)
         queue, self.queue = self.queue, deque()
         if self.watcher is not None:
             self.watcher.cancel()
         value = self.parser.all_but_report()
         if value is not None and queue:  # it lacks its load report alone: a good answer
             self.pool.caches.done(queue.popleft(), *read(value))
-        for sending in queue:
+        for transmission in queue:
             may_have_run = "spoilt" if self.spoilt else "reset"
-            self.pool.caches.done(sending, "unconnected" if self.proven(sending) else may_have_run)
+            self.pool.caches.done(transmission, "unconnected" if self.proven(transmission) else may_have_run)
 
 
 def read(value: resp.Value) -> tuple[str, bytes, str | None, dict | None]:
@@ -250,66 +250,66 @@
     def __init__(self, caches: "Caches", name: str) -> None:
         self.caches, self.name = caches, name
         self.address: tuple[str, int] | None = None
-        self.lines: dict[Line, None] = {}  # in the order they were opened
+        self.connections: dict[Connection, None] = {}  # in the order they were opened
         self.wanted = True  # neither draining nor gone
         self.turn = crc32(name.encode())  # moves the order of turns round, so that a proxy's are not at once
 
-    def line(self, patience: float) -> Line | None:
+    def connection(self, patience: float) -> Connection | None:
         """The connection for the next transmission: one that rests, one that comes up, or the least busy.
 
         One whose turn to be opened comes later than `patience` (s) is none.
         """
         latest = self.caches.loop.time() + patience
         settled = self.caches.loop.time() - SETTLE
-        free = [line for line in self.lines if not line.queue and line.begins <= latest]
+        free = [one for one in self.connections if not one.queue and one.begins <= latest]
         if len(free) > 1:
-            free.sort(key=lambda line: (line.up, min(0.0, settled - line.idle_since), line.idle_since))
+            free.sort(key=lambda one: (one.up, min(0.0, settled - one.idle_since), one.idle_since))
         while free:
-            line = free.pop()
-            if not line.up or line.clean():
-                return line
-            line.cut()
+            connection = free.pop()
+            if not connection.up or connection.clean():
+                return connection
+            connection.cut()
         # Guards against a silent machine, whose open connections would take RPC after RPC to their time-out,
         # while a new one that does not come up proves each not run.
-        prompt = [line for line in self.lines if not line.late]
-        if len(prompt) < self.caches.each and (line := self.more(patience)) is not None:
-            return line
-        usable = [line for line in prompt or self.lines if line.begins <= latest
-                  and len(line.queue) < self.caches.streams and line.place == self.address]
-        return min(usable, key=lambda line: len(line.queue), default=None)
-
-    def more(self, patience: float = 0.0) -> Line | None:
+        prompt = [connection for connection in self.connections if not connection.late]
+        if len(prompt) < self.caches.each and (connection := self.more(patience)) is not None:
+            return connection
+        usable = [connection for connection in prompt or self.connections if connection.begins <= latest
+                  and len(connection.queue) < self.caches.streams and connection.place == self.address]
+        return min(usable, key=lambda connection: len(connection.queue), default=None)
+
+    def more(self, patience: float = 0.0) -> Connection | None:
         """One more connection, if there is room for it, and its turn comes within `patience` (s)."""
         caches = self.caches
         most = caches.each + SPARES if caches.shares.most is None else caches.shares.most
-        if len(self.lines) >= most or not caches.room():
+        if len(self.connections) >= most or not caches.room():
             return None
         now = caches.loop.time()
         begins = caches.shares.begin(self.name, self.turn, now, now + caches.wall, patience > 0.0)
         if begins > now + patience:
             caches.shares.back(self.name, begins)
             return None
-        line = Line(self)
-        self.lines[line] = None
-        line.begins = begins
-        self.begin(line)
-        return line
+        connection = Connection(self)
+        self.connections[connection] = None
+        connection.begins = begins
+        self.begin(connection)
+        return connection
 
-    def begin(self, line: Line) -> None:
+    def begin(self, connection: Connection) -> None:
         """Opens a connection once its turn has come."""
         now = self.caches.loop.time()
-        if line.closed:
+        if connection.closed:
             return
-        if line.begins > now:
-            self.caches.loop.call_at(line.begins, self.begin, line)
-        elif self.caches.shares.lapsed(self.name, line.begins, now):
+        if connection.begins > now:
+            self.caches.loop.call_at(connection.begins, self.begin, connection)
+        elif self.caches.shares.lapsed(self.name, connection.begins, now):
             # Guards against a crowd that was stopped while it waited for its turns, and wakes together; and
             # against a turn that was lent meanwhile, or that its owner has back.
-            line.begins = self.caches.shares.begin(self.name, self.turn, now, now + self.caches.wall)
-            self.begin(line)
+            connection.begins = self.caches.shares.begin(self.name, self.turn, now, now + self.caches.wall)
+            self.begin(connection)
         else:
-            line.begins = 0.0
-            self.caches.open(self.caches.loop, line, self.address, self.caches.dial)
+            connection.begins = 0.0
+            self.caches.open(self.caches.loop, connection, self.address, self.caches.dial)
 
     def warm(self) -> None:
         """Opens ahead what will be needed.
@@ -318,19 +318,20 @@
         """
         if not self.caches.ahead or not self.wanted or self.address is None:
             return
-        short = min(READY - sum(not line.queue for line in self.lines), self.caches.each - len(self.lines))
+        held = len(self.connections)
+        short = min(READY - sum(not one.queue for one in self.connections), self.caches.each - held)
         while short > 0 and self.more() is not None:
             short -= 1
 
     def release(self) -> None:
         """Close what rests; what is still to be written is not sent."""
-        for line in list(self.lines):
-            if not line.queue or not line.up:
-                line.cut()
+        for connection in list(self.connections):
+            if not connection.queue or not connection.up:
+                connection.cut()
 
     def cut_resting(self, since: float = inf) -> None:
-        for line in [line for line in self.lines if line.rests and line.idle_since < since]:
-            line.cut()
+        for connection in [one for one in self.connections if one.rests and one.idle_since < since]:
+            connection.cut()
 
 
 class Caches:
@@ -338,7 +339,7 @@
                  open: Callable, taker: Callable, bound: Callable, outcome: Callable,
                  figures: Figures, shares: Shares, wall: float) -> None:
         self.shares, self.wall = shares, wall  # our parts of what caches bear; s to the common clock
-        self.may: Callable[[Sending], bool] = lambda sending: True  # looked at right before it leaves
+        self.may: Callable[[Transmission], bool] = lambda one: True  # looked at right before it leaves
         self.flights: Flights | None = None  # what may be out at a cache, where that is told
         self.entries: dict[str, tuple] = {}  # the list as it was told
         self.loop, self.most, self.open, self.outcome = loop, max(1, most), open, outcome
@@ -361,7 +362,7 @@
             self.spoilt, self.tell_at = 0, self.loop.time() + SELDOM
 
     def count(self) -> int:
-        return sum(len(pool.lines) for pool in self.pools.values())
+        return sum(len(pool.connections) for pool in self.pools.values())
 
     def room(self) -> bool:
         """Whether one more connection may be opened: the one that rested longest goes for it, if need be."""
@@ -372,9 +373,9 @@
         """Close what rests over a number of connections, the longest first."""
         over = self.count() - most
         if over > 0:
-            resting = [line for pool in self.pools.values() for line in pool.lines if line.rests]
-            for line in sorted(resting, key=lambda line: line.idle_since)[:over]:
-                line.cut()
+            resting = [one for pool in self.pools.values() for one in pool.connections if one.rests]
+            for connection in sorted(resting, key=lambda connection: connection.idle_since)[:over]:
+                connection.cut()
 
     def allow(self, most: int) -> None:
         """Another budget of connections."""
@@ -409,7 +410,7 @@
         for name, pool in list(self.pools.items()):
             if not pool.wanted:
                 pool.release()
-                if not pool.lines:
+                if not pool.connections:
                     del self.pools[name]
         self.entries = {name: entry for name, entry in self.entries.items() if name in self.named}
         self.shares.keep(self.named)
@@ -429,83 +430,84 @@
         return words.listed(index, list(self.entries.values()), places)
 
     def send(self, name: str, owner: Any, number: int, command: Callable[[float], list[bytes]], now: float,
-             time_out: float, left: float, soft: float) -> Sending:
+             time_out: float, left: float, soft: float) -> Transmission:
         """Sends to a cache; the answer is waited for `time_out` ms, of the `left` ms that the RPC has.
 
         `soft`: ms to its soft deadline. A connection whose turn to be opened comes too late for that is not
         waited for: the RPC is held back, proven not run and no fault of the cache's.
         """
         begun = self.loop.time()
-        sending = Sending(owner, number, command, now, begun + max(0.0, time_out) / 1000.0,
+        transmission = Transmission(owner, number, command, now, begun + max(0.0, time_out) / 1000.0,
                           begun + left / 1000.0)
-        sending.timer = self.loop.call_at(sending.ends, self.late, sending)
+        transmission.timer = self.loop.call_at(transmission.ends, self.late, transmission)
         pool = self.pools.get(name)
         known = pool is not None and pool.wanted and pool.address is not None
         if known and self.flights is not None:
             if not self.flights.begin(self.loop.time(), name):
-                self.loop.call_soon(self.done, sending, "held")
-                return sending
-            sending.counted = name
-        line = pool.line(self.shares.patience(min(soft, time_out) / 1000.0)) if known else None
-        if line is None:
+                self.loop.call_soon(self.done, transmission, "held")
+                return transmission
+            transmission.counted = name
+        connection = pool.connection(self.shares.patience(min(soft, time_out) / 1000.0)) if known else None
+        if connection is None:
             told = self.shares.handshakes is not None or self.shares.most is not None
-            self.loop.call_soon(self.done, sending, "held" if known and told else "unconnected")
+            self.loop.call_soon(self.done, transmission, "held" if known and told else "unconnected")
         else:
-            line.send(sending)
+            connection.send(transmission)
             pool.warm()
-        return sending
+        return transmission
 
-    def late(self, sending: Sending) -> None:
+    def late(self, transmission: Transmission) -> None:
         """An answer is overdue: it is called off, if that can be done."""
-        line, left = sending.line, sending.last - self.loop.time()
+        connection, left = transmission.connection, transmission.last - self.loop.time()
         # Guards against a second copy: what is called off early is sent elsewhere, while on a connection that
         # stays open, for others wait there, it is still out.
-        if left > 0.0 and line is not None and line.shares(sending):
-            sending.timer = self.loop.call_later(left, self.give_up, sending, "timeout")
-            line.late = True
+        if left > 0.0 and connection is not None and connection.shares(transmission):
+            transmission.timer = self.loop.call_later(left, self.give_up, transmission, "timeout")
+            connection.late = True
         else:
-            self.give_up(sending, "timeout")
+            self.give_up(transmission, "timeout")
 
-    def give_up(self, sending: Sending, outcome: str) -> None:
+    def give_up(self, transmission: Transmission, outcome: str) -> None:
         """Stop waiting: the connection is closed, unless all of it has left and others wait there."""
-        if sending.over:
+        if transmission.over:
             return
-        line = sending.line
-        if line is None:
+        connection = transmission.connection
+        if connection is None:
             outcome = "held"  # it has no connection: never written, and no fault of the cache's
-        elif not line.closed:
-            if not line.up:
-                line.queue.remove(sending)
+        elif not connection.closed:
+            if not connection.up:
+                connection.queue.remove(transmission)
                 outcome = "moot"  # never written; the connection may come up and serve the next
-            elif not line.shares(sending):
+            elif not connection.shares(transmission):
                 # Nothing of it may leave from here on, so what still lies in the buffer goes with the rest.
-                line.queue.remove(sending)  # so that the cut does not report it as reset
-                line.cut()
-                line.pool.warm()
+                connection.queue.remove(transmission)  # so that the cut does not report it as reset
+                connection.cut()
+                connection.pool.warm()
             else:
-                line.late = line.late or outcome == "timeout"
-        self.done(sending, outcome)
+                connection.late = connection.late or outcome == "timeout"
+        self.done(transmission, outcome)
 
-    def begin(self, sending: Sending, size: int) -> None:
+    def begin(self, transmission: Transmission, size: int) -> None:
         """The head of a long answer is right: from here on only a peer that stands still ends it."""
-        if not sending.over:
-            sending.timer.cancel()
-            sending.sink = self.taker(sending, size, sending.line.more)
+        if not transmission.over:
+            transmission.timer.cancel()
+            transmission.sink = self.taker(transmission, size, transmission.connection.more)
 
-    def done(self, sending: Sending, outcome: str, answer: bytes = b"", note: str | None = None,
+    def done(self, transmission: Transmission, outcome: str, answer: bytes = b"", note: str | None = None,
              load: dict | None = None) -> None:
-        line = sending.line
+        connection = transmission.connection
         # One that is given up while others wait behind it is out until its answer has been read past.
-        if sending.counted and (line is None or line.closed or sending not in line.queue):
-            self.flights.end(self.loop.time(), sending.counted)
-            sending.counted = None
-        if sending.over:
+        ended = connection is None or connection.closed or transmission not in connection.queue
+        if transmission.counted and ended:
+            self.flights.end(self.loop.time(), transmission.counted)
+            transmission.counted = None
+        if transmission.over:
             return
-        sending.over = True
-        sending.timer.cancel()
-        if sending.sink is not None and not sending.line.closed:
-            self.loop.call_soon(sending.line.more)  # nobody takes it now: what is left is read past
-        self.outcome(sending, outcome, answer, note, load)
+        transmission.over = True
+        transmission.timer.cancel()
+        if transmission.sink is not None and not transmission.connection.closed:
+            self.loop.call_soon(connection.more)  # nobody takes it now: what is left is read past
+        self.outcome(transmission, outcome, answer, note, load)
 
     def retire(self) -> None:
         """Close connections before the caches do: what is written to a closed one may have run."""
@@ -519,5 +521,5 @@
 
     def close(self) -> None:
         for pool in self.pools.values():
-            for line in list(pool.lines):
-                line.cut()
+            for connection in list(pool.connections):
+                connection.cut()
--- a/calicofall/net/clients.py
+++ b/calicofall/net/clients.py
@@ -29,7 +29,7 @@
 FRESH = 0.25  # s in which a connection without a byte is not yet taken for one that says nothing
 
 
-class Turn:
+class PendingReply:
     """An answer's place in its connection's order."""
 
     __slots__ = ("client", "answer", "call", "weight", "size", "headed", "more")
@@ -69,7 +69,7 @@
         super().__init__(clients.loop)
         self.clients = clients
         self.parser = resp.Parser(self.inward)
-        self.turns: deque[Turn] = deque()
+        self.replies: deque[PendingReply] = deque()
         self.held = self.deaf = False  # reading is paused; framing is lost
         self.faults = 0  # wrong commands since the last right one
         self.halved = 0  # bytes of memory for a command that has begun and not ended
@@ -104,61 +104,61 @@
         """Nothing more is read from it, and it closes once it has been told why."""
         if not self.deaf:
             self.deaf = True
-            self._turn(0).give(resp.fault(f"ERR {reason}"))
+            self._reply(0).give(resp.fault(f"ERR {reason}"))
 
     def _full(self) -> bool:
         """Whether nothing more is read from it now: guards against clients that send and do not read."""
         most = PIPELINED if self.clients.weight < self.clients.ahead else 1
-        return self.stuck or self in self.clients.crowded or len(self.turns) >= most
+        return self.stuck or self in self.clients.crowded or len(self.replies) >= most
 
-    def _turn(self, weight: int) -> Turn:
-        turn = Turn(self, weight)
-        self.turns.append(turn)
+    def _reply(self, weight: int) -> PendingReply:
+        reply = PendingReply(self, weight)
+        self.replies.append(reply)
         self.clients.weight += weight
         self.clients.busy(self)
-        return turn
+        return reply
 
     def _take(self, command: object) -> None:
         if not isinstance(command, list) or not command or \
                 not all(type(part) is bytes for part in command):
-            self.wrong(self._turn(0), "a command is an array of bulk strings")
+            self.wrong(self._reply(0), "a command is an array of bulk strings")
             return
-        turn = self._turn(sum(map(len, command)))
+        reply = self._reply(sum(map(len, command)))
         name = command[0].upper()
         if name in ARGUMENTS:
-            self.clients.ask(turn, [name, *command[1:]])
+            self.clients.ask(reply, [name, *command[1:]])
         elif name == b"PING" and self.clients.denying:
-            turn.give(resp.fault("ERR emptying"))
+            reply.give(resp.fault("ERR emptying"))
         elif name == b"PING" and len(command) <= 2:
-            turn.give(resp.bulk(command[1]) if len(command) == 2 else resp.word("PONG"))
+            reply.give(resp.bulk(command[1]) if len(command) == 2 else resp.word("PONG"))
         elif name == b"PING":
-            self.wrong(turn, "wrong number of arguments")
+            self.wrong(reply, "wrong number of arguments")
         elif name == b"QUIT":
             self.deaf = True
-            turn.give(resp.word("OK"))
+            reply.give(resp.word("OK"))
         else:
-            self.wrong(turn, "unknown command")
+            self.wrong(reply, "unknown command")
 
-    def wrong(self, turn: Turn, reason: str) -> None:
+    def wrong(self, reply: PendingReply, reason: str) -> None:
         """A command that cannot be carried out. Guards against clients that send such ones without end."""
         self.faults += 1
         if self.faults >= FAULTS:
             self.deaf = True
-        turn.give(resp.fault(f"ERR {reason}"))
+        reply.give(resp.fault(f"ERR {reason}"))
 
     def pass_on(self) -> None:
         """Answers whose turn has come go out."""
-        while self.turns and self.turns[0].answer is not None and not self.stuck:
-            turn = self.turns.popleft()
-            self.clients.weight -= turn.weight
-            self.write(turn.answer)
-        if self.turns and not self.stuck and (turn := self.turns[0]).more is not None:
-            if not turn.headed:
-                turn.headed = True
-                self.write(b"$%d\r\n" % turn.size)
-            turn.more()
+        while self.replies and self.replies[0].answer is not None and not self.stuck:
+            reply = self.replies.popleft()
+            self.clients.weight -= reply.weight
+            self.write(reply.answer)
+        if self.replies and not self.stuck and (reply := self.replies[0]).more is not None:
+            if not reply.headed:
+                reply.headed = True
+                self.write(b"$%d\r\n" % reply.size)
+            reply.more()
             return
-        if not self.turns and not self.closed:
+        if not self.replies and not self.closed:
             if self.deaf or (self.clients.leaving and not len(self.inward)):  # what has come is answered
                 self.close()
             elif not self.clients.leaving:
@@ -208,11 +208,11 @@
         if self.patience is not None:
             self.patience.cancel()
         self.clients.gone(self)
-        turns, self.turns = self.turns, deque()
-        for turn in turns:
-            self.clients.weight -= turn.weight
-            if turn.answer is None:
-                self.clients.leave(turn)
+        replies, self.replies = self.replies, deque()
+        for reply in replies:
+            self.clients.weight -= reply.weight
+            if reply.answer is None:
+                self.clients.leave(reply)
 
 
 class Clients:
--- a/calicofall/net/proxy.py
+++ b/calicofall/net/proxy.py
@@ -26,8 +26,8 @@
 from calicofall.fleet.turns import Fetches, Turns
 from calicofall.holds import broken, holds
 from calicofall.net import resp, versions
-from calicofall.net.caches import Caches, Sending
-from calicofall.net.clients import Clients, Turn
+from calicofall.net.caches import Caches, Transmission
+from calicofall.net.clients import Clients, PendingReply
 from calicofall.net.discovery import Discovery
 from calicofall.net.emptying import TAKEN, Emptying
 from calicofall.net.figures import Figures
@@ -62,13 +62,13 @@
 
 
 class Call:
-    """An RPC and the turn in which its answer is owed."""
+    """An RPC and the reply that is owed for it."""
 
-    __slots__ = ("rpc", "turn", "parts", "sending", "began")
+    __slots__ = ("rpc", "reply", "parts", "transmission", "began")
 
-    def __init__(self, rpc: Rpc, turn: Turn | None, parts: list[bytes]) -> None:
-        self.rpc, self.turn, self.parts = rpc, turn, parts
-        self.sending: Sending | None = None
+    def __init__(self, rpc: Rpc, reply: PendingReply | None, parts: list[bytes]) -> None:
+        self.rpc, self.reply, self.parts = rpc, reply, parts
+        self.transmission: Transmission | None = None
         self.began: float | None = None  # when its answer began to be passed on
 
     def command(self, left: float) -> list[bytes]:
@@ -288,26 +288,26 @@
         fall = (self.router.policy.rules.get("fall_multiple") or 1.0) * 1000.0
         self.router.share_out({name: quota / 1000.0 for name, quota in quotas.items()}, cold and cold / fall)
 
-    def may(self, sending: Sending) -> bool:
+    def may(self, transmission: Transmission) -> bool:
         """Whether what was decided may still be carried out, looked at right before its first byte leaves."""
         if self.versions is not None:
             self.versions.current()
-        call = sending.owner
-        if call.turn is not None:
-            call.turn.client.left()
-        return not call.rpc.over and self.router.still(self.now(), call.rpc, sending.number)
+        call = transmission.owner
+        if call.reply is not None:
+            call.reply.client.left()
+        return not call.rpc.over and self.router.still(self.now(), call.rpc, transmission.number)
 
     # The life of an RPC
 
-    def ask(self, turn: Turn, parts: list[bytes]) -> None:
+    def ask(self, reply: PendingReply, parts: list[bytes]) -> None:
         try:
             fields = words.rpc_fields(parts, self.methods, self.tenants)
             if parts[2] in self.open:  # guards against a second RPC that a cache would take for the first
                 raise ValueError("the id of an RPC in hand")
         except ValueError as reason:
-            turn.client.wrong(turn, str(reason))
+            reply.client.wrong(reply, str(reason))
             return
-        turn.client.faults = 0
+        reply.client.faults = 0
         if self.versions is not None:
             self.versions.current()
         if self.limits is not None:
@@ -323,7 +323,7 @@
         until = min(until, max(now, self.emptying.ends * 1000.0 + self.offset))
         rpc = Rpc(str(next(self.ids)), fields["method"], fields["tenant"], fields["key"], fields["write"],
                   now, until, fields["repeat"])
-        turn.call = call = self.calls[rpc.id] = Call(rpc, turn, parts)
+        reply.call = call = self.calls[rpc.id] = Call(rpc, reply, parts)
         if self.noted is not None:
             self.noted.note("command", id=parts[2].decode(), rpc=rpc.id, method=rpc.method, key=rpc.key,
                             tenant=rpc.tenant, patience=until - now)
@@ -346,8 +346,8 @@
         if cache is not None:
             holds(not rpc.over and now < rpc.until, "nothing is sent for an RPC that is over")
             soft = rpc.arrived + self.router.soft(rpc) - now
-            call.sending = self.caches.send(cache, call, len(rpc.sent) - 1, call.command, now, rpc.time_out,
-                                            rpc.until - now, soft)
+            call.transmission = self.caches.send(cache, call, len(rpc.sent) - 1, call.command, now,
+                                                 rpc.time_out, rpc.until - now, soft)
         elif rpc.answer == "exhausted":
             ms = round(rpc.come_back)
             self.answer(now, call, resp.fault(f"BUSY {ms}" if ms > 0 else "BUSY"))
@@ -355,15 +355,15 @@
             self.answer(now, call, resp.fault("ERR errored"))
 
     def answer(self, now: float, call: Call, data: bytes) -> None:
-        rpc, turn, call.turn = call.rpc, call.turn, None
-        holds(turn is not None, "an RPC gets one answer")
+        rpc, reply, call.reply = call.rpc, call.reply, None
+        holds(reply is not None, "an RPC gets one answer")
         self.over(call)
-        if turn is not None:
+        if reply is not None:
             self.figures.answered(rpc.answer, rpc.name)
             if rpc.answer == "completed" and "first RPC" not in self.phases.reached:
                 self.reach("first RPC")
             self.times[rpc.name].record_value(max(1, round((call.began or now) - rpc.arrived)))
-            turn.give(data)
+            reply.give(data)
             if self.accounts:
                 self.account(now, call)
             if self.noted is not None:
@@ -382,41 +382,42 @@
             "fleet": f"{self.router.policy.fleet.held:.1f}/{self.router.policy.fleet.value:.2f}",
             "origin": f"{self.router.policy.origin.held:.1f}/{self.router.policy.origin.value:.2f}"})
 
-    def taker(self, sending: Sending, size: int, more: Callable[[], None]) -> Turn | None:
+    def taker(self, transmission: Transmission, size: int, more: Callable[[], None]) -> PendingReply | None:
         """Who takes a long answer as it comes, once its turn has come."""
-        turn = sending.owner.turn
-        if turn is not None:
-            turn.begin(size, more)
-        return turn
+        reply = transmission.owner.reply
+        if reply is not None:
+            reply.begin(size, more)
+        return reply
 
-    def bound(self, sending: Sending) -> None:
+    def bound(self, transmission: Transmission) -> None:
         """Some of it is passed on: it is the RPC's answer, whatever comes of it."""
-        call = sending.owner
+        call = transmission.owner
         call.began = self.now()
-        self.decide(call, self.router.begun, call.began, call.rpc, sending.number)
+        self.decide(call, self.router.begun, call.began, call.rpc, transmission.number)
 
-    def outcome(self, sending: Sending, outcome: str, answer: bytes, note: str | None, load: Any) -> None:
-        now, call = self.now(), sending.owner
-        rpc, turn, call.sending = call.rpc, call.turn, None
+    def outcome(self, transmission: Transmission, outcome: str, answer: bytes, note: str | None,
+                load: Any) -> None:
+        now, call = self.now(), transmission.owner
+        rpc, reply, call.transmission = call.rpc, call.reply, None
         over = rpc.over  # its client has left: nobody is answered
-        bound = sending.bound or (turn is not None and turn.headed)
-        if turn is not None and not bound:
-            turn.more = None
-        took = told = (call.began or now) - sending.at
-        name = rpc.sent[sending.number].cache
+        bound = transmission.bound or (reply is not None and reply.headed)
+        if reply is not None and not bound:
+            reply.more = None
+        took = told = (call.began or now) - transmission.at
+        name = rpc.sent[transmission.number].cache
         if self.witnesses is not None:
             told = self.witnesses.fair(name, rpc.name, took, len(answer))
-        cache = self.decide(call, self.router.report, now, rpc, sending.number, outcome, told, note, load,
-                            bound)
+        cache = self.decide(call, self.router.report, now, rpc, transmission.number, outcome, told, note,
+                            load, bound)
         if self.witnesses is not None:
             self.witnesses.saw(name, rpc, outcome, took, len(answer))
         if not over and outcome == "completed":
             self.answer(now, call, answer + b"\r\n" if bound else resp.bulk(answer))
         elif not over and bound:  # guards against a value cut short that could pass for a whole one
-            rpc.answer, call.turn = "errored", None
+            rpc.answer, call.reply = "errored", None
             self.figures.answered(rpc.answer, rpc.name)
             self.over(call)
-            turn.spoil()
+            reply.spoil()
         elif not over:
             self.carry(now, call, cache)
         self.soon()
@@ -425,18 +426,18 @@
         if self.calls.pop(call.rpc.id, None) is not None:
             self.open.discard(call.parts[2])
 
-    def left(self, turn: Turn) -> None:
+    def left(self, reply: PendingReply) -> None:
         """The client has gone: what was sent for it is called off."""
-        call = turn.call
-        if call is None or call.turn is None:
+        call = reply.call
+        if call is None or call.reply is None:
             return
-        call.turn = None
+        call.reply = None
         self.over(call)
-        off, sending = self.router.left(self.now(), call.rpc), call.sending
+        off, transmission = self.router.left(self.now(), call.rpc), call.transmission
         # Guards against a command that leaves after its client: where caches take no cancelling, what waits
         # for its connection is withdrawn all the same.
-        if sending is not None and (off or sending.waits()):
-            self.caches.give_up(sending, "cancelled")
+        if transmission is not None and (off or transmission.waits()):
+            self.caches.give_up(transmission, "cancelled")
         self.soon()
 
     # Time
@@ -652,8 +653,8 @@
         """Guards against being killed with RPCs in hand: their time ends, the module answers."""
         for call in list(self.calls.values()):
             call.rpc.until = min(call.rpc.until, self.now())
-            if call.sending is not None and not call.rpc.bound:
-                self.caches.give_up(call.sending, "timeout")
+            if call.transmission is not None and not call.rpc.bound:
+                self.caches.give_up(call.transmission, "timeout")
         self.loop.call_later(OUT, self.end)
 
     def leave(self) -> None:
--- a/tests/rogues.py
+++ b/tests/rogues.py
@@ -10,17 +10,17 @@
 
 
 def answers_twice() -> None:
-    give = clients.Turn.give
+    give = clients.PendingReply.give
 
-    def twice(self: clients.Turn, answer: bytes) -> None:
+    def twice(self: clients.PendingReply, answer: bytes) -> None:
         give(self, answer + answer if answer[:1] == b"$" else answer)
 
-    clients.Turn.give = twice
+    clients.PendingReply.give = twice
 
 
 def answers_never() -> None:
-    give = clients.Turn.give
-    clients.Turn.give = lambda self, answer: give(self, answer) if answer[:1] != b"$" else None
+    give = clients.PendingReply.give
+    clients.PendingReply.give = lambda self, answer: give(self, answer) if answer[:1] != b"$" else None
 
 
 def asks_at_once() -> None:
@@ -62,7 +62,8 @@
         pool = self.pools[name]
         other = next((p for p in self.pools.values() if p is not pool and p.wanted), None)
         if other is not None:
-            extra = caches.Sending(sending.owner, 0, sending.command, sending.at, sending.ends, sending.last)
+            extra = caches.Transmission(sending.owner, 0, sending.command, sending.at, sending.ends,
+                                        sending.last)
             extra.timer, extra.over = self.loop.call_later(9.0, lambda: None), True
             if (copy := other.line(9.0)) is not None:
                 copy.send(extra)
@@ -74,13 +75,13 @@
 def opens_beyond_share() -> None:
     """Handshakes as they come, and a new connection for each RPC."""
     shares.Shares.begin = lambda self, name, turn, now, wall, needed=True: now
-    rest = caches.Line.rest
+    rest = caches.Connection.rest
 
-    def close(self: caches.Line) -> None:
+    def close(self: caches.Connection) -> None:
         rest(self)
         self.cut()
 
-    caches.Line.rest = close
+    caches.Connection.rest = close
 
 
 def floods_cold() -> None:
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -146,7 +146,7 @@
     plug.sendall(commands)
     live.turn()
     stream = next(iter(live.proxy.clients.open))
-    assert len(stream.turns) == PIPELINED and stream.held
+    assert len(stream.replies) == PIPELINED and stream.held
     live.proxy.emptying.begin()
     caches = [live.cache() for _ in range(PIPELINED)]
     plug.sendall(ask(key=1))
--- a/tests/test_operation.py
+++ b/tests/test_operation.py
@@ -142,11 +142,11 @@
             elif chance.random() < 0.05:
                 line.abort()
         client = chance.choice(clients)
-        if client.open and not client.stream.turns and not client.sent:
+        if client.open and not client.stream.replies and not client.sent:
             client.method = chance.choice(["read", "save", "order"])
             patience = str(chance.randrange(50, 900))
             client.feed(ask(client.method, chance.randrange(9), patience, bytes(50_000)))
-        elif chance.random() < 0.03 and client.stream.turns:
+        elif chance.random() < 0.03 and client.stream.replies:
             clients[clients.index(client)] = desk.client()
             client.abort()
             left += 1
@@ -156,7 +156,7 @@
             seen["deferred" if client.sent.startswith(b"-BUSY") else kind, client.method] += 1
             client.take()
         told = figures(desk)
-        assert told["proxy.current"] == sum(len(client.stream.turns) for client in clients)
+        assert told["proxy.current"] == sum(len(client.stream.replies) for client in clients)
     told = figures(desk)
     for (kind, method), count in seen.items():
         assert told[f"proxy.{kind}.{method}"] == count
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -199,11 +199,11 @@
     desk.proxy.clients.weight = desk.proxy.clients.ahead
     client = desk.client()
     client.feed(ask(key=1) + ask(key=1))
-    assert len(client.stream.turns) == 1 and client.paused
+    assert len(client.stream.replies) == 1 and client.paused
     desk.line(0).feed(reply(b"one"))
     desk.loop.run()
     desk.line(0)
-    assert client.sent == b"$3\r\none\r\n" and len(client.stream.turns) == 1
+    assert client.sent == b"$3\r\none\r\n" and len(client.stream.replies) == 1
 
 
 def test_a_client_that_leaves_has_its_rpc_called_off() -> None:
@@ -341,7 +341,7 @@
     desk = Desk(caches=2)
     client, other = desk.client(), desk.client()
     client.feed(ask(key=5))
-    owner = next(name for name, pool in desk.proxy.caches.pools.items() if pool.lines)
+    owner = next(name for name, pool in desk.proxy.caches.pools.items() if pool.connections)
     line = desk.line()
     other.feed(ask(key=5))
     desk.list(endpoint(owner, "DRAINING"))
@@ -688,7 +688,7 @@
             elif what < 0.38:
                 line.abort()
         client = chance.choice(clients)
-        if client.open and not client.stream.turns:
+        if client.open and not client.stream.replies:
             client.take()
             client.feed(ask(chance.choice(["read", "read", "save", "order"]), chance.randrange(9),
                             str(chance.randrange(50, 900))))
@@ -703,7 +703,7 @@
         assert not late
     desk.loop.run(2.1)
     assert asked > 500 and not desk.proxy.calls and not desk.proxy.router.hand
-    assert all(not client.stream.turns for client in clients)
+    assert all(not client.stream.replies for client in clients)
     assert sum(desk.proxy.figures.totals().values()) <= asked
 
 
--- a/tests/test_turns.py
+++ b/tests/test_turns.py
@@ -280,7 +280,7 @@
     desk.loop.run(0.05)
     policy = desk.proxy.router.policy
     assert policy.origin.turn > desk.proxy.now()
-    assert len([c for c in desk.proxy.calls.values() if c.sending is not None]) <= 1
+    assert len([c for c in desk.proxy.calls.values() if c.transmission is not None]) <= 1
     assert desk.proxy.figures.sends - sends <= 1
     untold = Desk()
     assert untold.proxy.router.fetches is None and untold.proxy.router.policy.origin.turn == 0.0
