--- a/calicofall/policy.py
+++ b/calicofall/policy.py
@@ -638,6 +638,12 @@
             self.fleet.present.add(now, 5.0)
             self._note(now, cache, self.soonest)
         elif outcome in ("error", "timeout"):
+            # Guards against a jam that nothing accounts for: what was held once and fails now was fetched.
+            if not rpc.write and not self.aside:
+                if outcome == "error" or not self._holds(cache, rpc.key):
+                    self.unseen[cold].add(now, 1.0)
+                for held in self.holders:
+                    held.discard((rpc.key, cache.name))
             # Guards against slow caches shrinking the origin's limit: most of what may fetch does not.
             if fetch and cache.part >= 0.5 and (rpc.write or not self.seldom or outcome == "error"):
                 self._of_origin(now, cache, 6.0, 1.0)
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -816,3 +816,24 @@
         few.caches["c1"].sent.add(now)
     few._set_aside(now, few.caches["c1"], 1 / 4, "")
     assert few.caches["c1"].trickle(now + 5000.0) == pytest.approx(0.5)
+
+
+@pytest.mark.parametrize("outcome", ["error", "timeout"])
+def test_a_key_that_fails_where_it_was_held_is_taken_for_a_fetch(outcome: str) -> None:
+    """Caches let go of keys that were believed held for 20 s more: fetches that no limit counted jammed
+    the origin for good, and what is not waited for is not stored."""
+    policy = Policy(fleet(), 1, 0.0)
+    policy.listed(0.0, "full", 1, [("c1", "a", "box", 0, "ready", 1.0, 0.0)])
+    first = rpc_for("read")
+    assert send(policy, 10.0, first)[:2] == ("send", "c1") and first.sent[0].fetch > 0.0  # not known yet
+    first.sent[0].outcome, first.over = "completed", True
+    policy.after(20.0, first, 0, 10.0, "hit", None)
+    second = rpc_for("read")
+    send(policy, 30.0, second)
+    assert second.sent[0].fetch == 0.0  # held, as far as is known
+    second.sent[0].outcome, second.over = outcome, True
+    policy.after(40.0, second, 0, 10.0, None, None)
+    third = rpc_for("read")
+    send(policy, 50.0, third)
+    assert third.sent[0].fetch > 0.0
+    assert sum(policy.unseen[0].sums) == (1.0 if outcome == "error" else 0.0)
