--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -14,7 +14,7 @@
 import sys
 import termios
 import time
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from pathlib import Path
 from random import Random
 from select import POLLRDHUP, poll
@@ -26,7 +26,7 @@
 from calicofall.net.clients import PIPELINED, REST
 from calicofall.net.discovery import Discovery
 from calicofall.net.proxy import Proxy
-from calicofall.net.stream import LINGER, Door
+from calicofall.net.stream import LINGER, Door, Stream
 from calicofall.start.line import Line
 
 ROOT = Path(__file__).parents[1]
@@ -74,14 +74,24 @@
     def turn(self, span: float = 0.05) -> None:
         self.loop.run_until_complete(asyncio.sleep(span))
 
+    def until(self, seen: Callable[[], object]) -> None:
+        """Turns the loop until this is so."""
+        end = time.monotonic() + 5.0
+        while not seen():
+            assert time.monotonic() < end
+            self.turn(0.005)
+
     def client(self, accepted: bool = True) -> socket.socket:
-        plug = socket.create_connection(self.place)
+        before, plug = len(self.proxy.clients.open), socket.create_connection(self.place)
         plug.settimeout(5.0)
         self.plugs.append(plug)
         if accepted:
-            self.turn()
+            self.until(lambda: len(self.proxy.clients.open) > before)
         return plug
 
+    def sent(self, count: int) -> bool:
+        return self.proxy.figures.sends == count
+
     def cache(self) -> socket.socket:
         """The next connection that comes to a cache."""
         self.caches[0].settimeout(5.0)
@@ -109,6 +119,14 @@
     one.close()
 
 
+def gone(plug: socket.socket, stream: Stream) -> None:
+    """A client leaves, and the system knows of it while the loop stands."""
+    eye = poll()
+    eye.register(stream.transport.get_extra_info("socket").fileno(), POLLRDHUP)
+    plug.close()
+    assert eye.poll(5000)
+
+
 def whole(plug: socket.socket) -> bytes:
     """All that comes up to the peer's end; a reset raises."""
     data = b""
@@ -124,7 +142,7 @@
     """A command came in the instant of the close: the reset that followed destroyed what was in flight."""
     plug = live.client()
     plug.sendall(PING)
-    live.turn()
+    live.until(lambda: live.proxy.clients.resting)
     stream = next(iter(live.proxy.clients.resting))
     mine = stream.transport.get_extra_info("socket")
     plug.sendall(ask())
@@ -135,8 +153,7 @@
     assert whole(plug) == b"+PONG\r\n"  # and no reset
     assert not live.proxy.calls and live.proxy.figures.totals()["completed"] == 0  # nor is it carried out
     plug.close()
-    live.turn()
-    assert not live.proxy.clients.open  # its end is waited for no longer than it takes
+    live.until(lambda: not live.proxy.clients.open)  # its end is waited for no longer than it takes
 
 
 def test_an_answer_owed_while_emptying_is_followed_by_an_end_and_no_reset(live: Live) -> None:
@@ -144,7 +161,7 @@
     plug = live.client()
     commands = b"".join(ask(key=1) for _ in range(PIPELINED))
     plug.sendall(commands)
-    live.turn()
+    live.until(lambda: live.sent(PIPELINED))
     stream = next(iter(live.proxy.clients.open))
     assert len(stream.replies) == PIPELINED and stream.held
     live.proxy.emptying.begin()
@@ -153,14 +170,16 @@
     waits(stream.transport.get_extra_info("socket"), 1)
     for cache in caches:
         cache.sendall(reply(b"last"))
-    live.turn(0.1)
+    live.until(lambda: live.proxy.figures.totals()["completed"] == PIPELINED)
     data = b""
     while len(data) < len(b"$4\r\nlast\r\n") * PIPELINED:
         data += plug.recv(1 << 16)
     # What came before the shutdown is taken and answered; nothing else may be lost.
-    if len(live.proxy.calls):
+    live.turn()
+    if not stream.closing:
+        live.until(lambda: live.sent(PIPELINED + 1))
         live.cache().sendall(reply(b"last"))
-        live.turn(0.1)
+        live.until(lambda: stream.closing)
     assert set((data + whole(plug)).split(b"$4\r\nlast\r\n")) == {b""}
 
 
@@ -194,20 +213,17 @@
     """A client sends much at once and goes: command after command was sent on for it."""
     plug = live.client()
     plug.sendall(b"".join(ask(key=1) for _ in range(4 * PIPELINED)))
-    live.turn()
+    live.until(lambda: live.sent(PIPELINED))
     stream = next(iter(live.proxy.clients.open))
-    mine = stream.transport.get_extra_info("socket")
     caches = [live.cache() for _ in range(PIPELINED)]
-    plug.close()
-    eye = poll()
-    eye.register(mine.fileno(), POLLRDHUP)
-    assert eye.poll(5000) and stream.held and not stream.closed  # it has gone, and nothing tells the loop
+    gone(plug, stream)
+    assert stream.held and not stream.closed  # it has gone, and nothing tells the loop
     sent = live.proxy.figures.sends
-    assert sent == PIPELINED
     for cache in caches:
         cache.sendall(reply())
-    live.turn(0.02)
-    assert live.proxy.figures.sends == sent and not live.proxy.calls
+    live.until(lambda: not live.proxy.calls)
+    live.turn()
+    assert live.proxy.figures.sends == sent
     live.proxy.clients.sweep()
     assert stream.closed
 
@@ -215,9 +231,10 @@
 def test_a_paused_client_that_left_holds_nothing_for_long(live: Live) -> None:
     plug = live.client()
     plug.sendall(b"".join(ask(key=1) for _ in range(4 * PIPELINED)))
-    live.turn()
+    live.until(lambda: live.sent(PIPELINED))
     stream = next(iter(live.proxy.clients.open))
-    plug.close()
+    gone(plug, stream)
+    assert stream.held and not stream.closed
     live.proxy.upkeep()  # no answer has come from anywhere
     assert stream.closed and not live.proxy.calls and not live.proxy.clients.weight
 
@@ -291,10 +308,10 @@
     assert not live.proxy.clients.open  # none is taken yet
     live.proxy.emptying.begin()
     live.proxy.part()
-    live.turn()
+    live.until(lambda: live.sent(len(plugs)))
     for _ in plugs:
         live.cache().sendall(reply(b"last"))
-    live.turn(0.1)
+    live.until(lambda: live.proxy.figures.totals()["completed"] == len(plugs))
     assert [whole(plug) for plug in plugs] == [b"$4\r\nlast\r\n"] * 5
     with pytest.raises(ConnectionRefusedError):
         live.client(accepted=False)
@@ -303,14 +320,13 @@
 def test_half_a_command_at_the_end_of_rest_gets_its_answer(live: Live) -> None:
     plug, data = live.client(), ask(key=1)
     plug.sendall(data[:30])
-    live.turn()
+    live.until(lambda: live.proxy.clients.halves)
     live.proxy.emptying.begin()
     live.proxy.clients.part()
-    assert len(live.proxy.clients.halves) == 1
     plug.sendall(data[30:])
-    live.turn()
+    live.until(lambda: live.sent(1))
     live.cache().sendall(reply(b"last"))
-    live.turn()
+    live.until(lambda: live.proxy.figures.totals()["completed"] == 1)
     assert whole(plug) == b"$4\r\nlast\r\n"
 
 
