A listener that closes stays within the budget; no room is made for nobody

Taken: all that wait in the backlog, room or not, which the listener did as it closed since: a crowd of idle clients in it took descriptors that RPCs in hand go by. Now within the budget. Found beside it: Door.come made room once more behind the last that waited, at an idle client's cost.

--- a/calicofall/net/stream.py
+++ b/calicofall/net/stream.py
@@ -13,7 +13,7 @@
 import socket
 from collections.abc import Callable, Coroutine
 from contextlib import suppress
-from select import POLLRDHUP, poll
+from select import POLLIN, POLLRDHUP, poll
 
 from calicofall.net.buffer import Pieces, RingBuffer
 
@@ -202,15 +202,24 @@
         except OSError as reason:
             raise OSError(f"{place[0]}:{place[1]}: {os.strerror(reason.errno or 0)}") from None
         self.plug.setblocking(False)
+        self.eye = poll()
+        self.eye.register(self.plug.fileno(), POLLIN)
         self.resume()
 
     def resume(self) -> None:
         if self.plug.fileno() >= 0:
             self.loop.add_reader(self.plug.fileno(), self.come)
 
+    def waiting(self) -> bool:
+        """Whether a connection waits to be taken."""
+        return bool(self.eye.poll(0))
+
     def come(self) -> None:
         for _ in range(A_TURN):
             try:
+                # Guards against room that is made, at an idle client's cost, for nobody.
+                if not self.waiting():
+                    return
                 if not self.room():
                     raise OSError(errno.EMFILE, "no room")
                 plug, _ = self.plug.accept()
@@ -234,11 +243,14 @@
             stream.cut()
 
     def close(self) -> None:
-        """Takes all that wait, room or not, and closes. Guards against a reset of who waits there."""
+        """Takes those that wait while there is room, and closes. Guards against their being reset."""
         if self.plug.fileno() >= 0:
             self.loop.remove_reader(self.plug.fileno())
             with suppress(OSError):
-                while True:
+                # Guards against a crowd that waits there, which took the descriptors of RPCs in hand.
+                for _ in range(WAITING):
+                    if not (self.waiting() and self.room()):
+                        break
                     self._take(self.plug.accept()[0], self.make())
             self.plug.close()
 
--- a/tests/rogues.py
+++ b/tests/rogues.py
@@ -65,7 +65,8 @@
             extra = caches.Transmission(sending.owner, 0, sending.command, sending.at, sending.ends,
                                         sending.last)
             extra.timer, extra.over = self.loop.call_later(9.0, lambda: None), True
-            if (copy := other.line(9.0)) is not None:
+            if (copy := other.connection(9.0)) is not None:
+                self.may = lambda one: True  # nor does it look once more
                 copy.send(extra)
         return sending
 
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -54,10 +54,10 @@
 class Live:
     """A proxy on real sockets; its loop turns only while told to."""
 
-    def __init__(self, caches: int = 1, **settings: object) -> None:
+    def __init__(self, caches: int = 1, sockets: int = 1024, **settings: object) -> None:
         self.loop = asyncio.new_event_loop()
         self.caches = [socket.create_server(("127.0.0.1", 0)) for _ in range(caches)]
-        node = Desk.node(0, **settings) | {"known": {"index": 1, "snapshot": True, "endpoints": [
+        node = Desk.node(0, sockets, **settings) | {"known": {"index": 1, "snapshot": True, "endpoints": [
             endpoint(f"c{i}", address=at(plug))
             for i, plug in enumerate(self.caches)]}}
         self.proxy = Proxy(node, self.loop)
@@ -317,6 +317,32 @@
         live.client(accepted=False)
 
 
+def test_no_room_is_made_for_nobody() -> None:
+    """Behind the last that waited, one more idle client was put out."""
+    live = Live(sockets=64)
+    try:
+        for _ in range(live.proxy.clients.most):
+            live.client()
+        live.turn(0.3)  # none is new any more
+        assert len(live.proxy.clients.open) == live.proxy.clients.most
+    finally:
+        live.close()
+
+
+def test_a_crowd_in_the_backlog_takes_no_descriptors_beyond_the_budget() -> None:
+    """All that waited was taken, room or not: a crowd of idle clients took what RPCs in hand go by."""
+    live = Live(sockets=64)
+    try:
+        most = live.proxy.clients.most
+        for _ in range(3 * most):
+            live.client(accepted=False)
+        live.proxy.emptying.begin()
+        live.proxy.part()
+        assert most == 32 and len(live.proxy.clients.open) + live.proxy.caches.count() == most
+    finally:
+        live.close()
+
+
 def test_half_a_command_at_the_end_of_rest_gets_its_answer(live: Live) -> None:
     plug, data = live.client(), ask(key=1)
     plug.sendall(data[:30])
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -489,6 +489,7 @@
     desk, taken, watched = Desk(), [], []
     door = Door.__new__(Door)
     door.loop, door.room, door.make = desk.loop, lambda: True, lambda: None
+    door.waiting = lambda: True
     door.plug = type("Plug", (), {"fileno": lambda self: 9, "accept": lambda self: (None, None)})()
     desk.loop.add_reader = lambda fileno, call: watched.append(call)
     desk.loop.remove_reader = lambda fileno: watched.clear()
