--- a/calicofall/fleet/document.py
+++ b/calicofall/fleet/document.py
@@ -3,7 +3,7 @@
 Owns its form and its digest. Must never take one whose digest does not match, or that a proxy could not act
 on: that is one line naming the field.
 
-    {"version": 7, "after": 6, "note": "...", "fleet": "lagos", "members": [0, 1, 2], "keepers": [0, 1, 2],
+    {"version": 7, "after": 6, "note": "...", "fleet": "east", "members": [0, 1, 2], "keepers": [0, 1, 2],
      "lease": {"s": 3.0, "drift": 0.01, "pauseS": 0.5}, "settings": {...}, "digest": "..."}
 
 `settings` holds what is common to all proxies; `me` and `zone` are each proxy's own. With `"trial":
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -26,7 +26,7 @@
 
 
 def text(version: int = 2, after: int = 1, sealed: bool = True, **changes: object) -> str:
-    data = {"version": version, "after": after, "note": "n", "fleet": "lagos", "members": [0, 1, 2],
+    data = {"version": version, "after": after, "note": "n", "fleet": "east", "members": [0, 1, 2],
             "keepers": [0, 1, 2], "lease": {"s": 2.0, "drift": 0.02, "pauseS": 0.3}, "settings": COMMON}
     data |= changes
     return json.dumps(document.sealed(data) if sealed else data, indent=1)
