A connection that is reset while it lingers is let go at once

Its timer held it and it the timer (call_later of a bound method), until the next full collection, 5 s.

--- a/calicofall/net/stream.py
+++ b/calicofall/net/stream.py
@@ -126,9 +126,7 @@
         """Close at once; what has not left is lost."""
         if self.closed:
             return
-        self.closed = True
-        if self.lingering is not None:
-            self.lingering.cancel()
+        self._over()
         if self.transport is not None:
             # Guards against a second copy: an abort alone leaves the socket open until the loop's next turn.
             plug = self.transport.get_extra_info("socket")
@@ -142,9 +140,14 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         if not self.closed:
-            self.closed = True
+            self._over()
             self.lost()
 
+    def _over(self) -> None:
+        self.closed = True
+        if self.lingering is not None:
+            self.lingering.cancel()  # guards against a timer that holds a dead connection, and it the timer
+
     def eof_received(self) -> bool:
         self.cut()  # guards against a half-closed peer that takes no more: what is owed to it is over
         return False
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -6,14 +6,17 @@
 
 import asyncio
 import fcntl
+import gc
 import json
 import os
 import signal
 import socket
+import struct
 import subprocess
 import sys
 import termios
 import time
+import weakref
 from collections.abc import Callable, Iterator
 from pathlib import Path
 from random import Random
@@ -183,6 +186,24 @@
     assert set((data + whole(plug)).split(b"$4\r\nlast\r\n")) == {b""}
 
 
+def test_a_connection_that_is_reset_while_it_lingers_is_let_go(live: Live) -> None:
+    """Its timer held it, and it the timer, until all that lives was looked through for what is out of use."""
+    plug = live.client()
+    plug.sendall(PING)
+    live.until(lambda: live.proxy.clients.resting)
+    known = weakref.ref(next(iter(live.proxy.clients.resting)))
+    gc.disable()
+    try:
+        known().close()
+        plug.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        plug.close()
+        live.until(lambda: not live.proxy.clients.open)
+        live.turn(LINGER + 0.05)
+        assert known() is None
+    finally:
+        gc.enable()
+
+
 def test_a_lingering_connection_goes_for_the_next_and_ends_by_itself() -> None:
     desk = Desk(sockets=40)  # eight connections
     clients = [desk.client() for _ in range(8)]
