A client that has gone is not kept as lingering when it is closed again

Found on reading over: Client.close entered it among those that linger before it looked whether it was over. Not reachable today; it would stand first where room is wanted and give none. The test fails without it.

--- a/calicofall/net/clients.py
+++ b/calicofall/net/clients.py
@@ -194,8 +194,9 @@
         self.pass_on()
 
     def close(self) -> None:
-        self.clients.ending(self)
-        super().close()
+        if not (self.closing or self.closed):  # guards against one that has gone and is kept as lingering
+            self.clients.ending(self)
+            super().close()
 
     def left(self) -> bool:
         """Whether the client has gone, told of as its end would be. Guards against a pause in reading that
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -216,6 +216,15 @@
     assert not any(client.open for client in clients)
 
 
+def test_one_that_has_gone_is_not_kept_as_lingering() -> None:
+    """It would stand first where room is wanted, and give none."""
+    desk = Desk()
+    client = desk.client()
+    client.abort()
+    client.stream.close()
+    assert not desk.proxy.clients.lingering and not desk.proxy.clients.open
+
+
 def test_a_command_that_comes_slowly_is_no_rest() -> None:
     """Where many rest, connections that rest close: clients that write slowly lost theirs in mid-command."""
     desk = Desk(sockets=48)
