A process's own want of descriptors speaks against no cache

A connection that could not be opened for want of descriptors, ports or memory of ours ended as 'unconnected', which halves what its cache is sent.

Lines at fault: net/stream._connect dropped the reason, net/caches.Connection.lost told every failure to open as the cache's. Change: the stream keeps whether the want was ours (EMFILE, ENFILE, ENOBUFS, ENOMEM, EADDRNOTAVAIL); such transmissions end as 'held', proven not run and nobody's fault, and the key's next cache is tried. Tests: a_connection_that_our_own_want..., a_want_of_our_own_descriptors... fail without it.

--- a/calicofall/net/caches.py
+++ b/calicofall/net/caches.py
@@ -232,9 +232,11 @@
         value = self.parser.all_but_report()
         if value is not None and queue:  # it lacks its load report alone: a good answer
             self.pool.caches.done(queue.popleft(), *read(value))
+        may_have_run = "spoilt" if self.spoilt else "reset"
+        # Guards against blaming a cache for what this process lacks: caches set aside at its last descriptor.
+        never_run = "held" if self.starved else "unconnected"
         for transmission in queue:
-            may_have_run = "spoilt" if self.spoilt else "reset"
-            self.pool.caches.done(transmission, "unconnected" if self.proven(transmission) else may_have_run)
+            self.pool.caches.done(transmission, never_run if self.proven(transmission) else may_have_run)
 
 
 def read(value: resp.Value) -> tuple[str, bytes, str | None, dict | None]:
--- a/calicofall/net/stream.py
+++ b/calicofall/net/stream.py
@@ -23,6 +23,7 @@
 WAITING = 512  # connections that the system holds until they are taken
 A_TURN = 16  # taken in one turn of the loop
 BREATH = 0.05  # s until the next try where there was no room
+OURS = frozenset({errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EADDRNOTAVAIL})
 log = logging.getLogger("calicofall")
 opening: set[asyncio.Task] = set()  # connections that are coming up
 
@@ -34,6 +35,7 @@
         self.transport: asyncio.Transport | None = None
         self.stuck = self.closed = self.closing = False
         self.why = "closed"  # what ended it
+        self.starved = False  # it was not opened for want of descriptors, ports or memory of our own
         self.rising: asyncio.Task | None = None  # while it comes up
         self.lingering: asyncio.TimerHandle | None = None  # its last bytes are out: when it ends
         self.dropped = 0  # bytes read behind its end
@@ -272,6 +274,7 @@
             return
     except (OSError, TimeoutError) as reason:  # refused, silent, or no descriptor left
         stream.why = getattr(reason, "strerror", None) or "does not come up"
+        stream.starved = reason.errno in OURS
         stream.rising = None
         stream.cut()
     finally:
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import errno
 import fcntl
 import gc
 import json
@@ -29,7 +30,7 @@
 from calicofall.net.clients import PIPELINED, REST
 from calicofall.net.discovery import Discovery
 from calicofall.net.proxy import Proxy
-from calicofall.net.stream import LINGER, Door, Stream
+from calicofall.net.stream import LINGER, Door, Stream, connect
 from calicofall.start.line import Line
 
 ROOT = Path(__file__).parents[1]
@@ -327,6 +328,51 @@
     assert client.sent.count(b"\r\n") == 1 and not client.sent.startswith(b"$") and not desk.proxy.calls
 
 
+# Descriptors run out
+
+
+def test_a_connection_that_our_own_want_keeps_from_opening_says_so(monkeypatch: pytest.MonkeyPatch) -> None:
+    """A process at its last descriptor took its own want for a cache that cannot be reached."""
+    closed = socket.create_server(("127.0.0.1", 0))
+    place = closed.getsockname()
+    closed.close()  # refuses from now on
+
+    def opened() -> Stream:
+        async def run() -> Stream:
+            stream = Stream(asyncio.get_running_loop())
+            connect(stream.loop, stream, place, 1.0)
+            while not stream.closed:
+                await asyncio.sleep(0.001)
+            return stream
+        return asyncio.run(run())
+
+    assert not opened().starved
+    plain = socket.socket
+
+    def none_left(*kind: object, **more: object) -> socket.socket:
+        if kind[:2] == (socket.AF_INET, socket.SOCK_STREAM):
+            raise OSError(errno.EMFILE, os.strerror(errno.EMFILE))
+        return plain(*kind, **more)
+
+    monkeypatch.setattr("calicofall.net.stream.socket.socket", none_left)
+    stream = opened()
+    assert stream.starved and stream.why == os.strerror(errno.EMFILE)
+
+
+@pytest.mark.parametrize("starved", [True, False])
+def test_a_want_of_our_own_descriptors_speaks_against_no_cache(starved: bool) -> None:
+    desk = Desk().spacious()
+    client = desk.client()
+    client.feed(ask())
+    before = len(desk.loop.opened)
+    stream, _ = desk.loop.opened[-1]
+    stream.starved = starved
+    stream.cut()
+    name = stream.pool.name
+    assert (desk.proxy.router.policy.caches[name].part == 1.0) is starved
+    assert len(desk.loop.opened) == before + 1 and not client.sent  # the key's next cache is tried
+
+
 # SIGTERM
 
 
