Retry budget and clocks that differ are rules where the settings state them

Ruled out: the bound on retries of a fifth of what comes in: it counts only what may have run; what caches turned away or could not be reached was sent on without a limit in sum (Policy.after, where).

Change: ring.Budget, passed by every transmission beyond an RPC's first in Policy._may_send, spent in _send; each miss grants one beside it. Why it cannot happen again: a transmission counts for up to two buckets too long, an RPC for up to one too few, so rounding is against the budget; RPCs count as taken before anything is decided. A plain model of the rule runs beside the module on generated histories (tests/test_rules.py) and finds the comparison off by one, coarse buckets, RPCs counted too long, grants not used up, sends not counted. Of what is allowed RPCs use half and more by gain. Where it is told it stands in for the bound of a fifth.

Clocks: an RPC's end is the later of what was told and the stated error after it came, in time for a final answer whichever clock is ahead; a time-out sooner than asked and a moot send end the RPC. A listed start counts as late as it may be, not after it was told of. Could do harm: a warm cache is sent less for as long as the error.

Settings: names, checks (one line, non-zero exit), fields of versions; leftOffNs and responseRoom have no bearing on sockets and are left out there with a line. Router.apply takes all that follows from settings from a fresh module, in place of its own copies of it. Tests: tests/test_budget.py, tests/test_rules.py.

--- a/calicofall/facade.py
+++ b/calicofall/facade.py
@@ -9,7 +9,7 @@
 
 from calicofall.fleet import fields
 from calicofall.fleet.turns import Fetches
-from calicofall.policy import ANY, BOUND, Policy
+from calicofall.policy import ANY, Policy
 from calicofall.ring import Ring
 from calicofall.rpc import MARK, NOT_RUN, Rpc
 from calicofall.start import snapshot
@@ -18,6 +18,8 @@
 FETCH = "fetch"  # the usual time of a fetch, among those of methods
 DOUBTED = 1 / 8  # of what a cache owns, that it is sent at first on witnesses' word
 SLACK = 0.01  # ms; a wait that ends within it has ended
+# Of a module, what follows from the settings alone.
+DERIVED = ("most", "soonest", "rank", "places", "quota", "skew", "doubt")
 
 
 class Router:
@@ -120,22 +122,19 @@
             rpc.method = alias
         policy.methods = methods
         policy.rules, policy.caps = deployment["rules"], deployment["caps"]
-        policy.most = policy.caps.get("most_transmissions") or 3
-        policy.soonest = min((m["soft_deadline"] for m in methods.values()), default=policy.soonest)
+        # Guards against what was derived from the former settings and lives on by name.
+        fresh = Policy(deployment | {"methods": list(methods.values())}, 0, now)
+        for name in DERIVED:
+            setattr(policy, name, getattr(fresh, name))
+        policy.budget.spare, policy.budget.ratio = fresh.budget.spare, fresh.budget.ratio
         for name in [*policy.usual]:
             if name is not None and name not in methods:
                 del policy.usual[name], policy.typical[name]
         for name in methods:
             policy.usual.setdefault(name, Ring(60_000.0, 24))
             policy.typical.setdefault(name, None)
-        top = max((method.get("gain") or 1.0 for method in methods.values()), default=1.0)
-        policy.rank = {name: (method.get("gain") or 1.0) / top for name, method in methods.items()}
-        policy.places = {name: tuple(frozenset(method.get(part) or ()) or None for part in BOUND)
-                         for name, method in methods.items()}
         policy.within = {place: [] for place in (ANY, *policy.places.values())}
         policy.asked = {place: policy.asked.get(place) or Ring(20_000.0, 10) for place in policy.within}
-        quotas = {t["name"]: t.get("quota") or 0.0 for t in deployment.get("tenants") or []}
-        policy.quota = {name: quota / 1000.0 / policy.proxies for name, quota in quotas.items()}
         policy.purse = {name: policy.purse.get(name) or [0.0, now] for name in policy.quota}
         policy._refresh(now)
 
--- a/calicofall/fleet/fields.py
+++ b/calicofall/fleet/fields.py
@@ -49,6 +49,7 @@
     "secondCopies": Field("off", "off while either says so"), "peerMessages": Field("off", "likewise"),
     "probes": Field("off", "likewise"), "retryAfter": Field("off", "likewise"),
     "maxRetryAfterNs": Field("least", "the shorter of both in between"),
+    "responseRoom": Field("least", "the fewer of both in between"),
     "cancel": Field("loose", ""), "dialTimeoutNs": Field("loose", ""), "connIdleNs": Field("least", ""),
 }
 RULES: dict[str, Field] = {
@@ -59,6 +60,11 @@
     "fallNs": Field("least", "the shorter of both in between"),
     "askEveryNs": Field("least", ""), "answerSlackNs": Field("least", ""),
     "removalNotBinding": Field("off", "off while either says so"),
+    "spareAttempts": Field("least", "the fewer of both in between"),
+    "repeatRatio": Field("least", "the lower of both in between"),
+    "resendSpanNs": Field("fixed", "takes a restart"),
+    "leftOffNs": Field("most", "the longer of both in between"),
+    "bootStampErrorNs": Field("most", "the longer of both in between"),
 }
 TOP: dict[str, Field] = {name: Field("fixed", "takes a restart") for name in (
     "balancers", "me", "kinds", "failureDomains", "zone", "discovery", "domain", "stats")} | {
--- a/calicofall/policy.py
+++ b/calicofall/policy.py
@@ -15,7 +15,7 @@
 from random import Random
 
 from calicofall import words
-from calicofall.ring import Ring
+from calicofall.ring import Budget, Ring
 from calicofall.rpc import Rpc, Transmission
 
 PRIME = (1 << 61) - 1
@@ -95,7 +95,7 @@
     """What this proxy knows of one cache, or of the origin."""
 
     def __init__(self, name: str) -> None:
-        self.name, self.salt = name, point(name.encode()) | 1
+        self.name, self.salt, self.stamp = name, point(name.encode()) | 1, 0.0  # stamp: its start as listed
         self.weight, self.started, self.ready, self.cell, self.zone, self.kind = 1.0, 0.0, True, 0, "", ""
         self.held, self.heard, self.drained = 0, 0.0, False  # drained: last listed as draining
         self.sent = Ring(SENT, 6)
@@ -165,6 +165,9 @@
         self.origin = Limit(now, self.proxies, 2 if self.aside else LEAST, pause)  # asked directly: more
         self.most_retries = max(1.0, 30.0 / self.proxies)
         self.retries = self.most_retries * self.chance.random()
+        self.budget = Budget(self.rules)
+        self.skew = self.rules.get("clock_error") or 0.0  # ms that an RPC's end may be off, either way
+        self.doubt = self.rules.get("start_error") or 0.0  # and a listed start
         self.flow, self.sent, self.done = Ring(10_000.0, 20), Ring(SENT, 6), Ring(10_000.0, 20)  # done: warm
         # Carried by warm caches, per ms and unit of weight, here; our part of what one bears, where told.
         self.origin_floor, self.carried, self.bears = 0.0, 0.0, deployment.get("bears") or 0.0
@@ -204,9 +207,12 @@
         for name, zone, machine, cell, state, weight, started in entries:
             among = self.origins if self.origin_kind and machine == self.origin_kind else self.caches
             cache = among.get(name) or among.setdefault(name, Cache(name))
-            if started > cache.started:  # a fresh process: what was held against the old one is void
+            if started > cache.stamp:  # a fresh process: what was held against the old one is void
                 cache.clear()
-            cache.zone, cache.kind, cache.cell, cache.started = zone, machine, cell, started
+            if started != cache.stamp:
+                # Guards against clocks that differ: it began late, but not after it was told of.
+                cache.stamp, cache.started = started, started and min(max(now, started), started + self.doubt)
+            cache.zone, cache.kind, cache.cell = zone, machine, cell
             if state == "gone" and cache in known and cache.ready:
                 gone.append(cache)
             cache.ready, cache.weight = state == "ready", weight if weight and weight > 0 else 1.0
@@ -472,7 +478,10 @@
         method = self.methods[rpc.method]
         if rpc.within_share is None:
             rpc.within_share = self._share(now, rpc)
+            # Guards against clocks that differ: this end is in time for a final answer, whichever is ahead.
+            rpc.until = max(rpc.until, min(now, rpc.until) + self.skew)
             self.retries = min(self.most_retries, self.retries + 0.2)
+            self.budget.taken.add(now)
             self.asked[self.places[rpc.method]].add(now)
             self.came.add(now, count=not rpc.repeat)  # guards against repeats that look like a larger part
             if rpc.key is not None:
@@ -509,6 +518,10 @@
         if cache is self.ledger:  # guards against a limit filled by what is on a slow way to an idle origin
             fetch = self.fetch_usual / (self.fetch_usual + self._way(cache))
         self.origin.take(now, fetch)
+        if rpc.grants:  # what a miss allows is not counted
+            rpc.grants -= 1
+        elif rpc.sent:
+            self.budget.spent.add(now)
         rpc.sent.append(Transmission(cache.name, now, fetch))
         if cache is self.ledger:
             # Guards against a jam without end: a fetch not waited for is not stored; its client is told.
@@ -540,7 +553,10 @@
         return self.ledger if spare and self.origin.free(now, BEYOND) else None
 
     def _may_send(self, now: float, rpc: Rpc, method: dict) -> bool:
-        """Rule 2: whether another transmission may have an effect twice."""
+        """The retry budget, the dearer RPCs first; rule 2: whether another may have an effect twice."""
+        part = 0.5 + 0.5 * self.rank[rpc.method] if rpc.within_share else 0.25
+        if rpc.sent and not rpc.grants and not self.budget.free(now, part):
+            return False
         first, out = rpc.first_run(), any(tx.outcome is None for tx in rpc.sent)
         return not out and (first is None or method["repeats"] == "retriable" or
                             (method["repeats"] == "deduped" and now < first.at + method["window"]))
@@ -582,9 +598,12 @@
             self._from_origin(now, rpc, outcome, took)
         if rpc.over or rpc.bound:
             return None
-        rpc.missed = rpc.missed or outcome == "missed"
+        rpc.missed, rpc.grants = rpc.missed or outcome == "missed", rpc.grants + (outcome == "missed")
         if cache is None and outcome in ("full", "unconnected"):
             return self._later(now, rpc, method)  # guards against RPCs sent to a stopped origin over and over
+        # Guards against sends for a client that has gone: it ended this one's wait, by its own clock.
+        if self.skew and (outcome == "moot" or (outcome == "timeout" and took < rpc.time_out - 1.0)):
+            return self._give_up(rpc, method)
         if outcome in ("missed", "full", "unconnected", "moot", "held") or self._may_retry(now, rpc, outcome):
             return self.where(now, rpc)
         return self._give_up(rpc, method)
@@ -592,7 +611,7 @@
     def _may_retry(self, now: float, rpc: Rpc, outcome: str) -> bool:
         # Guards against retry storms: retries are a part of what comes in, not of what fails.
         left, usual = self._left(now, rpc, self.methods[rpc.method]), self.typical[rpc.method]
-        fine = self.retries >= 1 and left >= (usual or 0.0)
+        fine = (self.budget.told or self.retries >= 1) and left >= (usual or 0.0)
         self.retries -= fine * (0.5 if outcome in AGAIN else 1.0)  # what failed soon costs less
         return fine
 
--- a/calicofall/recording/state.py
+++ b/calicofall/recording/state.py
@@ -14,10 +14,10 @@
 
 from calicofall.facade import Router
 from calicofall.policy import Cache, Limit, Policy
-from calicofall.ring import Ring
+from calicofall.ring import Budget, Ring
 from calicofall.rpc import Rpc, Transmission
 
-KINDS = {kind.__name__: kind for kind in (Policy, Limit, Cache, Ring, Rpc, Transmission)}
+KINDS = {kind.__name__: kind for kind in (Policy, Limit, Cache, Ring, Budget, Rpc, Transmission)}
 TABLES = {"list": list, "set": set, "deque": deque}
 # What names keys and tenants, by kind and field: under a veil it is told by other names.
 VEILED = {
--- a/calicofall/ring.py
+++ b/calicofall/ring.py
@@ -1,4 +1,4 @@
-"""What is measured over time."""
+"""What is measured over time, and the retry budget by it. Must never know what an RPC or a cache is."""
 
 
 class Ring:
@@ -45,3 +45,18 @@
                 means.append(total / count)
                 count = total = 0.0
         return min(means, default=default)
+
+
+class Budget:
+    """A retry budget: in any span `spare` transmissions beyond RPCs' first, and `ratio` of the RPCs taken.
+    Rounds against itself: a transmission counts up to two buckets too long, an RPC up to one too short."""
+
+    def __init__(self, rules: dict) -> None:
+        span, self.told = rules.get("retry_span") or 1.0, bool(rules.get("retry_span"))
+        self.spare, self.ratio = rules.get("retry_spare") or 0.0, rules.get("retry_ratio") or 0.0
+        self.taken, self.spent = Ring(span, 40), Ring(span * 1.05, 42)
+
+    def free(self, now: float, part: float) -> bool:
+        """Whether one more may go, for who may use this part of what is allowed now."""
+        return not self.told or \
+            self.spent.count(now) + 1.0 <= part * (self.spare + self.ratio * self.taken.count(now))
--- a/calicofall/rpc.py
+++ b/calicofall/rpc.py
@@ -34,6 +34,7 @@
     over: bool = False  # answered, or its client has left
     bound: bool = False  # a stream has begun: no deadline, no further transmission
     missed: bool = False  # a cache lacked the key: the origin is next
+    grants: int = 0  # transmissions that misses allow beside the retry budget
     work: float = 0.0  # how long a cache may work on it (ms), by a rough hint; 0 where none came
     within_share: bool | None = None  # unknown until first asked about
     answer: str | None = None  # the final one: completed, exhausted or errored
--- a/calicofall/words.py
+++ b/calicofall/words.py
@@ -14,7 +14,9 @@
 NAMES = {"balancers": "proxies", "realms": "tenants", "failure_domains": "zones", "tardy_gain": "late_gain",
          "overage_gain": "over_share_gain", "effect": "repeats", "quota_per_s": "quota", "blend": "goal",
          "start_capacity": "cold_share", "domain": "data", "stats": "reports",
-         "failure_domains_only": "zones_open", "removal_not_binding": "draining_alone"}
+         "failure_domains_only": "zones_open", "removal_not_binding": "draining_alone",
+         "response_room": "buffers", "spare_attempts": "retry_spare", "repeat_ratio": "retry_ratio",
+         "resend_span": "retry_span", "left_off": "clock_error", "boot_stamp_error": "start_error"}
 STATES = {"SERVING": "ready", "DRAINING": "draining", "DELETED": "gone"}
 STARTS = {"watchesPerS": "watches", "handshakesPerS": "handshakes", "connections": "connections",
           "cachePerS": "bears", "fetchesPerS": "fetches", "inFlight": "flight", "lendS": "lease",
@@ -68,9 +70,18 @@
             _held(f"settings.methods[{number}].{name}", only, right, f"a list of names in settings.{among}")
     goal, rules = settings.get("blend") or {}, settings.get("rules") or {}
     _held("settings.blend", goal, isinstance(goal, dict), "an object")
+    _held("settings.rules", rules, isinstance(rules, dict), "an object")
+    room = caps.get("responseRoom")
+    _held("settings.caps.responseRoom", room, room is None or _whole(room, 1, inf), "a whole number from 1")
+    for name in ("spareAttempts", "repeatRatio", "leftOffNs", "bootStampErrorNs"):
+        value = rules.get(name)
+        _held(f"settings.rules.{name}", value, value is None or _number(value) >= 0, "a number from 0")
+    span, counted = rules.get("resendSpanNs"), rules.keys() & {"spareAttempts", "repeatRatio"}
+    _held("settings.rules.resendSpanNs", span, not counted if span is None else _number(span) > 0,
+          "a number over 0, beside spareAttempts or repeatRatio,")
     for name in ("slowEnd", "missAllowed"):
         _held(f"settings.blend.{name}", value := goal.get(name), value is None or _part(value), "from 0 to 1")
-    gone = rules.get("removalNotBinding") if isinstance(rules, dict) else None
+    gone = rules.get("removalNotBinding")
     _held("settings.rules.removalNotBinding", gone, gone is None or isinstance(gone, bool), "true or false")
     pins = settings.get("pins") or {}
     _held("settings.pins", pins, isinstance(pins, dict) and not pins.keys() - {"limits", "caches"},
@@ -86,8 +97,14 @@
     return isinstance(value, int) and not isinstance(value, bool) and least <= value <= most
 
 
+def _number(value: Any) -> float:
+    """The number that it is; -1 for none."""
+    right = isinstance(value, int | float) and not isinstance(value, bool) and isfinite(value)
+    return float(value) if right else -1.0
+
+
 def _part(value: Any) -> bool:
-    return isinstance(value, int | float) and not isinstance(value, bool) and 0.0 <= value <= 1.0
+    return 0.0 <= _number(value) <= 1.0
 
 
 def _held(field: str, value: Any, right: bool, wanted: str) -> None:
@@ -97,11 +114,18 @@
 
 def on_sockets(settings: dict) -> tuple[dict, list[str]]:
     """The settings as an instance on sockets has them, and what the protocol there has no means for."""
-    caps = settings.get("caps") or {}
+    caps, rules = settings.get("caps") or {}, settings.get("rules") or {}
     left = [name for name in ("peerMessages", "probes") if caps.get(name)]
     lines = [f"settings.caps.{name} is not carried on sockets: the module is told that it is not allowed"
              for name in left]
-    return settings | {"caps": caps | dict.fromkeys(left, False)}, lines
+    # What is given up for slow readers is their buffer, and on sockets an answer has left its cache before.
+    spans = {"responseRoom": (caps, "answers wait for their own clients alone"),
+             "leftOffNs": (rules, "clients tell there how long they wait, and not until when")}
+    lines += [f"settings on {name} have no bearing on sockets: {why}" for name, (part, why) in spans.items()
+              if part.get(name)]
+    return settings | {"caps": {name: value for name, value in (caps | dict.fromkeys(left, False)).items()
+                                if name not in spans},
+                       "rules": {name: value for name, value in rules.items() if name not in spans}}, lines
 
 
 def seed(text: Any) -> int:
--- /dev/null
+++ b/tests/test_budget.py
@@ -0,0 +1,164 @@
+"""The retry budget and clocks that differ: the module alone."""
+
+import pytest
+from helpers import SETTINGS, fleet, rpc_for, send
+
+from calicofall import words
+from calicofall.facade import DERIVED, Router
+from calicofall.policy import Policy
+from calicofall.ring import Budget
+
+TOLD = {"retry_span": 1000.0, "retry_spare": 2, "retry_ratio": 0.1}
+BOX = [(f"c{i}", "z", "box", 0, "ready", None, 0.0) for i in range(8)]
+
+
+def policy_of(caches: list[tuple] = BOX, caps: dict | None = None, aside: bool = False,
+              **rules: float) -> Policy:
+    known = fleet(aside=aside)
+    policy = Policy(known | {"rules": known["rules"] | rules, "caps": known["caps"] | (caps or {})}, 1, 0.0)
+    policy.listed(0.0, "full", 1, caches)
+    return policy
+
+
+def failing(policy: Policy, now: float, method: str = "read", outcome: str = "error", took: float = 5.0,
+            key: int = 7) -> tuple[int, tuple]:
+    """One RPC whose transmissions all end like this: how many there were, and its last verdict."""
+    rpc = rpc_for(method, key, now, now + 1500.0)
+    verdict = send(policy, now, rpc)
+    while verdict[0] == "send":
+        rpc.sent[-1].outcome = outcome
+        verdict = policy.after(now, rpc, len(rpc.sent) - 1, took, None, None)
+    rpc.over = True
+    return len(rpc.sent), verdict
+
+
+# The budget
+
+
+def test_what_is_sent_again_stays_within_the_budget_from_the_first_moment_on() -> None:
+    """Nothing limited how often all together were sent again that caches had turned away."""
+    policy = policy_of(**TOLD)
+    sent = [failing(policy, float(now), "order", "full") for now in range(0, 200, 10)]
+    assert sum(count - 1 for count, _ in sent) == 4  # 2 and a tenth of twenty
+    assert sent[-1][1][0] == "exhausted"  # proven not run
+
+
+def test_what_the_budget_refuses_ends_at_once_as_its_effect_allows() -> None:
+    policy = policy_of(**TOLD | {"retry_spare": 0, "retry_ratio": 0.0})
+    assert failing(policy, 0.0)[1][0] == "exhausted"
+    assert failing(policy, 0.0, "order") == (1, ("errored",))
+    assert failing(policy, 0.0, "order", "full")[1][0] == "exhausted"
+    assert failing(policy, 0.0, "save")[1][0] == "exhausted"  # every cache drops its repeat
+
+
+def test_rpcs_that_are_refused_are_taken_and_those_before_the_window_are_not() -> None:
+    budget = Budget(TOLD)
+    for now in range(20):
+        budget.taken.add(float(now))
+    assert [budget.free(500.0, 1.0)] * 2 == [True, True]
+    for _ in range(4):
+        assert budget.free(500.0, 1.0)
+        budget.spent.add(500.0)
+    assert not budget.free(500.0, 1.0)
+    assert not budget.free(1400.0, 1.0)  # the RPCs have left the window, two of the four would be allowed
+    assert budget.free(1600.0, 1.0)
+
+
+def test_the_budget_is_spent_on_the_dearer_rpcs_first() -> None:
+    """Reads come first and often: they may not take what a bid would need."""
+    policy = policy_of(**TOLD | {"retry_spare": 10, "retry_ratio": 0.0})
+    reads = sum(failing(policy, float(now), key=now)[0] - 1 for now in range(30))
+    assert 4 <= reads <= 6 and failing(policy, 31.0, "order", "full")[0] > 1
+
+
+def test_each_miss_allows_one_more_beside_the_budget() -> None:
+    origin = ("o", "z", "origin", 0, "ready", None, 0.0)
+    policy = policy_of([*BOX, origin], aside=True, **TOLD | {"retry_spare": 0, "retry_ratio": 0.0})
+    rpc = rpc_for("read", 7, 0.0, 900.0)
+    send(policy, 0.0, rpc)
+    rpc.sent[0].outcome = "missed"
+    assert policy.after(5.0, rpc, 0, 5.0, None, None)[:2] == ("send", "o")
+    rpc.sent[1].outcome = "error"
+    assert policy.after(9.0, rpc, 1, 4.0, None, None)[0] == "exhausted"  # one grant, one more
+
+
+def test_without_a_budget_in_the_settings_nothing_is_counted() -> None:
+    assert policy_of().budget.free(0.0, 0.0)
+
+
+# Clocks
+
+
+def test_an_rpc_that_is_told_too_little_time_is_sent_and_waited_for() -> None:
+    """kaiku-catchup: RPCs came with up to 1,500 ms less than they had, and were given up unsent."""
+    policy = policy_of(clock_error=1500.0)
+    for left in (400.0, 1.0, -200.0):
+        rpc = rpc_for("read", 7, 1000.0, 1000.0 + left)
+        verdict = send(policy, 1000.0, rpc)
+        assert verdict[0] == "send" and verdict[2] >= 1300.0
+        assert rpc.until <= max(1000.0, 1000.0 + left) + 1500.0
+
+
+def test_nothing_is_sent_for_a_client_that_ended_its_wait_by_its_own_clock() -> None:
+    policy = policy_of(clock_error=1500.0)
+    for outcome in ("timeout", "moot"):
+        rpc = rpc_for("read", 7, 0.0, 300.0)
+        rpc.time_out = send(policy, 0.0, rpc)[2]
+        rpc.sent[0].outcome = outcome
+        assert policy.after(300.0, rpc, 0, 300.0, None, None)[0] == "exhausted"
+
+
+@pytest.mark.parametrize("error,told_at", [(0.0, 0.0), (4000.0, 5000.0), (4000.0, 2000.0)])
+def test_a_ramp_is_not_over_because_a_stamp_says_so(error: float, told_at: float) -> None:
+    """A stamp may be too early by the stated span, but nothing starts after it was told of."""
+    policy = policy_of(start_error=error)
+    policy.listed(told_at, "delta", 2, [("n", "z", "box", 0, "ready", None, 1000.0)])
+    started = policy.caches["n"].started
+    assert started == min(1000.0 + error, max(told_at, 1000.0))
+    policy.listed(told_at + 9000.0, "delta", 3, [("n", "z", "box", 0, "ready", 2.0, 1000.0)])
+    assert policy.caches["n"].started == started  # told again, it did not start again
+    assert policy._cold(started + 19_000.0, policy.caches["n"])
+    assert not policy._cold(started + 20_001.0, policy.caches["n"])
+
+
+# The settings
+
+
+def test_settings_that_are_applied_bring_their_own_budget_and_clocks() -> None:
+    """They are versions: nothing derived from the former ones may survive."""
+    before = fleet()
+    router = Router(before | {"rules": before["rules"] | TOLD}, 1, 0.0)
+    told = {"retry_spare": 0, "retry_ratio": 0.5, "clock_error": 700.0, "start_error": 40.0}
+    after = before | {"rules": before["rules"] | TOLD | told, "caps": before["caps"] | {
+        "buffers": 6, "most_transmissions": 2}}
+    router.apply(0.0, after)
+    policy, fresh = router.policy, Policy(after, 1, 0.0)
+    for name in DERIVED:
+        assert getattr(policy, name) == getattr(fresh, name)
+    assert (policy.budget.spare, policy.budget.ratio, policy.skew) == (0, 0.5, 700.0)
+
+
+@pytest.mark.parametrize("part,name,value", [
+    ("caps", "responseRoom", 0), ("caps", "responseRoom", 2.5), ("caps", "responseRoom", True),
+    ("rules", "spareAttempts", -1), ("rules", "spareAttempts", "3"), ("rules", "repeatRatio", float("nan")),
+    ("rules", "resendSpanNs", 0), ("rules", "resendSpanNs", None), ("rules", "leftOffNs", -5),
+    ("rules", "bootStampErrorNs", [1])])
+def test_wrong_ones_are_named(part: str, name: str, value: object) -> None:
+    told = {"spareAttempts": 5, "repeatRatio": 0.1, "resendSpanNs": 5_000_000_000}
+    settings = SETTINGS | {"rules": SETTINGS["rules"] | told}
+    words.check(settings)
+    with pytest.raises(ValueError, match=f"settings.{part}.{name} is "):
+        words.check(settings | {part: settings[part] | {name: value}})
+
+
+def test_the_wire_names_become_ours_and_sockets_leave_out_what_has_no_bearing_there() -> None:
+    rules = {"spareAttempts": 5, "repeatRatio": 0.1, "resendSpanNs": 5_000_000_000,
+             "leftOffNs": 1_500_000_000, "bootStampErrorNs": 2_000_000}
+    settings = SETTINGS | {"rules": SETTINGS["rules"] | rules, "caps": SETTINGS["caps"] | {"responseRoom": 9}}
+    policy = Policy(words.deployment(settings), 1, 0.0)
+    assert (policy.budget.spare, policy.budget.ratio, policy.skew, policy.doubt) == (
+        5, 0.1, 1500.0, 2.0)
+    on_sockets, lines = words.on_sockets(settings)
+    policy = Policy(words.deployment(on_sockets), 1, 0.0)
+    assert (policy.budget.spare, policy.skew, policy.doubt) == (5, 0.0, 2.0)
+    assert len(lines) == 2 and "responseRoom" in lines[0] and "leftOffNs" in lines[1]
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -27,6 +27,27 @@
         self.where: dict[str, tuple] = {}  # zone and kind, as last told
         self.history: dict[str, list[list]] = {}
         self.answered: set[str] = set()
+        self.taken: list[float] = []
+        self.again: list[list] = []  # transmissions beyond the first: when, RPC, its number
+        self.grants: dict[str, int] = {}  # by misses, beside the retry budget
+
+    def affords(self, now: float, rpc: Rpc) -> bool:
+        """The retry budget, the one that asks now counted."""
+        span = self.rules.get("retry_span")
+        if span is None or not self.history.get(rpc.id) or self.grants.get(rpc.id, 0) > 0:
+            return True
+        spent = sum(at >= now - span and self.history[one][number][2] != "moot"
+                    for at, one, number in self.again)
+        taken = sum(at > now - span for at in self.taken)
+        return spent + 1 <= self.rules["retry_spare"] + self.rules["retry_ratio"] * taken
+
+    def sent(self, now: float, rpc: Rpc, cache: str) -> None:
+        past = self.history[rpc.id]
+        if past and self.grants.get(rpc.id, 0) > 0:
+            self.grants[rpc.id] -= 1
+        elif past:
+            self.again.append((now, rpc.id, len(past)))
+        past.append([now, cache, None])
 
     def listed(self, now: float, entries: list[tuple]) -> None:
         for cache, zone, kind, cell, state, _, _ in entries:
@@ -53,6 +74,7 @@
         drained = cache in self.told and now > self.told[cache] + self.rules["drain_grace"]
         right = not self.aside or not rpc.write or cache == "o"
         right = right and self.open_to(method, cache)
+        right = right and self.affords(now, rpc)
         return again and right and not out and not drained and cache in self.named and len(past) < self.most \
             and rpc.id not in self.answered and now < rpc.until
 
@@ -72,6 +94,11 @@
     deployment["discovery"] = chance.choice(["push", "ask"])
     deployment["caps"]["peer_messages"] = seed % 4 < 2
     deployment["rules"]["draining_alone"] = seed % 5 == 0
+    if seed % 3:  # a retry budget, small enough to bind
+        deployment["rules"] |= {"retry_span": chance.choice([500.0, 1000.0, 5000.0]),
+                                "retry_spare": chance.choice([0, 1, 5]),
+                                "retry_ratio": chance.choice([0.0, 0.03, 0.1])}
+    deployment["rules"]["clock_error"] = chance.choice([None, 100.0])
     for method in deployment["methods"]:
         method["zones_open"] = chance.choice([None, ["y"]])
         method["kinds_open"] = chance.choice([None, ["box"]])
@@ -90,7 +117,7 @@
         assert rpc.id not in watch.answered
         if verdict[0] == "send":
             assert watch.may_send(now, rpc, verdict[1])
-            watch.history[rpc.id].append([now, verdict[1], None])
+            watch.sent(now, rpc, verdict[1])
             pending.append((now + chance.expovariate(1 / 150), rpc, len(rpc.sent) - 1))
         elif verdict[0] == "wait":
             assert now + verdict[1] < rpc.until
@@ -114,6 +141,7 @@
             pending.remove((at, rpc, number))
             outcome = "timeout" if rpc.until <= now else chance.choice(OUTCOMES)
             watch.history[rpc.id][number][2] = rpc.sent[number].outcome = outcome
+            watch.grants[rpc.id] = watch.grants.get(rpc.id, 0) + (outcome == "missed")
             if outcome == "completed" and not rpc.over:
                 rpc.over = True
                 watch.answered.add(rpc.id)
@@ -141,6 +169,7 @@
             method, key = chance.choice(["read", "read", "save", "order"]), chance.choice([None, 1, 2, 3])
             rpc = rpc_for(method, key, now, now + chance.uniform(20.0, 1500.0))
             hand[rpc.id] = rpc
+            watch.taken.append(now)
             act(rpc, policy.where(now, rpc))
         for errand in policy.wait(now)[1]:
             assert errand[0] in ("log", "follow", "close", "tell")
