Slow readers set no cache aside, RPCs that fail everywhere cost one transmission

Counts in the log: nearly all refused by the origin's limit, at 2 to 5 fetches a proxy; time-outs of clients that read for 3 to 5 soft deadlines passed for the origin's and the caches' (each counted six usual times), 'silent' caches were set aside one after the other.

Lines at fault: Policy._learn took every answer time and time-out for the cache's and the origin's. While slow readers would fill half of the buffers, reads end at their soft deadline. What else it guards against: single slow answers of any cause. Harm: a slow cache is known an answer later.

RPCs that fail soon and fail again when sent again, by key, tenant, method or all (three in four, of three or more in 8 s): not sent again, but for one in sixteen, and their failures say nothing. Slow failures do not count, so that an origin's jam is seen as before. Tests: tests/test_budget.py, each fails without its part.

--- a/calicofall/policy.py
+++ b/calicofall/policy.py
@@ -43,6 +43,7 @@
 LATELY, PRIOR = 1500.0, 2.0  # ms in which the news of a cache fades; answers that its usual pace stands for
 FAR, RISE = 0.25, 0.05  # of the soonest deadline: a slow way; how fast a zone's soonest answer time rises
 NEAR, JAM = 0.1, 2_000.0  # crossings a copy saves, by their price; ms after a fall of the origin's limit
+EVERYWHERE, FORGET = 0.75, 8_000.0  # of RPCs sent again, that fail again: none of their sort is; ms known
 DOUBLES = 5_000.0  # what a set-aside cache gets doubles in so long, or so many times its even part longer
 
 
@@ -165,7 +166,9 @@
         self.origin = Limit(now, self.proxies, 2 if self.aside else LEAST, pause)  # asked directly: more
         self.most_retries = max(1.0, 30.0 / self.proxies)
         self.retries = self.most_retries * self.chance.random()
-        self.budget = Budget(self.rules)
+        self.budget, self.sorts = Budget(self.rules), {}  # by sort, RPCs that failed again when sent again
+        self.buffers = self.caps.get("buffers") or 0  # answers that wait for their readers, at most
+        self.lates, self.before = Ring(4_000.0, 8), {}  # ended past the soft deadline; the last answer times
         self.skew = self.rules.get("clock_error") or 0.0  # ms that an RPC's end may be off, either way
         self.doubt = self.rules.get("start_error") or 0.0  # and a listed start
         self.flow, self.sent, self.done = Ring(10_000.0, 20), Ring(SENT, 6), Ring(10_000.0, 20)  # done: warm
@@ -315,6 +318,7 @@
             self.asked_for, self.keys_at = [{}, self.asked_for[0]], now + KEYS
         if now >= self.turn_at:
             self.holders, self.turn_at, self.rankings = [set(), self.holders[0]], now + HOLDS, {}
+            self.sorts, self.before = {sort: r for sort, r in self.sorts.items() if r.count(now)}, {}
 
     def _way(self, cache: Cache | None) -> float:
         """How much longer its zone's soonest answers take lately than those of the nearest zone (ms)."""
@@ -532,7 +536,9 @@
     def _left(self, now: float, rpc: Rpc, method: dict) -> float:
         # How long an answer has worth (ms). Guards against work for nothing where a late one has none.
         ends = self.aside or (self.seldom and self.many)  # few learn in their first seconds from late answers
-        if ends and method["repeats"] == "retriable" and not method.get("late_gain"):
+        # Guards against usual readers that wait behind slow ones. Harm: late answers are given up meanwhile.
+        ends = self._crowded(now, method) or (ends and not method.get("late_gain"))
+        if ends and method["repeats"] == "retriable":
             return min(rpc.until, rpc.arrived + method["soft_deadline"] - EARLY) - now
         return rpc.until - now
 
@@ -540,7 +546,8 @@
         # Guards against machines that vanish: a read is called off while another cache can still help.
         method, usual, held = self.methods[rpc.method], self.typical[rpc.method], self._holds(cache, rpc.key)
         # Guards against a jam without end: a fetch that is called off is not stored.
-        left = self._left(now, rpc, method) if held or self.aside else rpc.until - now
+        ends = held or self.aside or self._crowded(now, method)
+        left = self._left(now, rpc, method) if ends else rpc.until - now
         if not usual or not self.seldom or self.retries < 1 or cache.name not in self.caches:
             return left
         fetch = 0.0 if held or self.aside else 1.3 * self.fetch_usual + usual
@@ -596,6 +603,11 @@
                 self.errands.append(("close", cache.name))
         elif outcome != "begun":
             self._from_origin(now, rpc, outcome, took)
+        if self.buffers and now - rpc.arrived >= method["soft_deadline"] - 2 * EARLY:
+            self.lates.add(now)
+        if number and outcome in ("error", "completed") and rpc.sent[number - 1].outcome == "error":
+            for sort in rpc.sorts():
+                self.sorts.setdefault(sort, Ring(FORGET, 4)).add(now, float(outcome == "error"))
         if rpc.over or rpc.bound:
             return None
         rpc.missed, rpc.grants = rpc.missed or outcome == "missed", rpc.grants + (outcome == "missed")
@@ -611,13 +623,38 @@
     def _may_retry(self, now: float, rpc: Rpc, outcome: str) -> bool:
         # Guards against retry storms: retries are a part of what comes in, not of what fails.
         left, usual = self._left(now, rpc, self.methods[rpc.method]), self.typical[rpc.method]
+        # Guards against RPCs that fail wherever they go. Harm: a fault that just passed, retried seldom.
+        hopeless = outcome == "error" and self._hopeless(now, rpc, now - rpc.sent[-1].at)
+        if hopeless and self.chance.random() >= TRIAL[True]:
+            return False
         fine = (self.budget.told or self.retries >= 1) and left >= (usual or 0.0)
         self.retries -= fine * (0.5 if outcome in AGAIN else 1.0)  # what failed soon costs less
         return fine
 
+    def _hopeless(self, now: float, rpc: Rpc, took: float) -> bool:
+        """Whether RPCs of one of its sorts fail soon wherever they go, by those sent again lately."""
+        known = [self.sorts[sort] for sort in rpc.sorts() if sort in self.sorts]
+        soon = took < self.fetch_usual  # guards against an origin's jam that would pass for bad RPCs
+        return soon and any((ring.recent(now, 3, FORGET / 4) or 0.0) > EVERYWHERE for ring in known)
+
+    def _crowded(self, now: float, method: dict) -> bool:
+        """Whether slow readers would fill half of the buffers, were they waited for to the end."""
+        held = self.lates.count(now) / 4_000.0 * (method["hard_deadline"] - method["soft_deadline"])
+        return 0 < self.buffers < 2.0 * held
+
     def _learn(self, now: float, rpc: Rpc, cache: Cache, outcome: str, took: float, note: str | None,
                fetch: float, report: object = None) -> None:
         usual, cold = self.typical[rpc.method], self._cold(now, cache)
+        if self.buffers and outcome in ("completed", "timeout"):
+            # Guards against clients that read slowly, whose time passes for their caches': of two answers in
+            # a row the sooner counts. Harm: a cache that turns slow is known one answer later.
+            of = None if note == "fetched" else cache.name  # None: whichever fetched last
+            last = self.before.get(of, took)
+            if outcome == "completed":
+                self.before[of] = took
+            elif max(last, self.before.get(None, took)) < 0.8 * took:
+                return
+            took = min(took, last)
         there = max(1.0, took - self._way(cache))  # guards against blaming what is behind a slow way
         pace = min(there / max(usual, BRIEF * self.soonest), 10.0) if usual else cache.pace  # over the usual
         self._zone(now, cache, outcome, now - took)
@@ -656,7 +693,7 @@
         elif outcome == "full":
             self.fleet.present.add(now, 5.0)
             self._note(now, cache, self.soonest)
-        elif outcome in ("error", "timeout"):
+        elif outcome in ("error", "timeout") and not (outcome == "error" and self._hopeless(now, rpc, took)):
             # Guards against a jam that nothing accounts for: what was held once and fails now was fetched.
             if not rpc.write and not self.aside:
                 if outcome == "error" or not self._holds(cache, rpc.key):
--- a/calicofall/recording/state.py
+++ b/calicofall/recording/state.py
@@ -28,6 +28,9 @@
                                                   for one in asked],
     ("Policy", "rankings"): lambda known, veil: {(veil.key(key), place): ranking
                                                  for (key, place), ranking in known.items()},
+    ("Policy", "sorts"): lambda sorts, veil: {
+        (what, veil.key(value) if what == "key" else veil.tenant(value) if what == "tenant" else value): ring
+        for (what, value), ring in sorts.items()},
     ("Policy", "quota"): lambda held, veil: {veil.tenant(name): one for name, one in held.items()},
     ("Policy", "purse"): lambda held, veil: {veil.tenant(name): one for name, one in held.items()}}
 # Of a router: what its policy is bound to again, and what is the caller's.
--- a/calicofall/rpc.py
+++ b/calicofall/rpc.py
@@ -46,6 +46,11 @@
         """Its method as clients name it: taken under an earlier version, it stands under another name."""
         return self.method.partition(MARK)[0]
 
+    def sorts(self) -> list[tuple]:
+        """What it has in common with others, and that it is one at all."""
+        known = ("key", self.key), ("tenant", self.tenant), ("method", self.method), ("all", "")
+        return [sort for sort in known if sort[1] is not None]
+
     def first_run(self) -> Transmission | None:
         """The first transmission that may have run."""
         return next((tx for tx in self.sent if tx.may_have_run()), None)
--- a/tests/test_budget.py
+++ b/tests/test_budget.py
@@ -1,4 +1,6 @@
-"""The retry budget and clocks that differ: the module alone."""
+"""The retry budget, clocks that differ, slow readers, RPCs that fail wherever they go: the module alone."""
+
+from collections.abc import Callable
 
 import pytest
 from helpers import SETTINGS, fleet, rpc_for, send
@@ -121,6 +123,100 @@
     assert not policy._cold(started + 20_001.0, policy.caches["n"])
 
 
+# Slow readers
+
+
+def reading(policy: Policy, slow: Callable[[int, int], bool], spans: int = 1500) -> tuple[int, float]:
+    """Reads every 10 ms, answered after 40 ms; slow ones are out till their time-out: sets aside, limit."""
+    out: list[tuple[float, object, str]] = []
+    for number in range(spans):
+        now = 10.0 * number
+        for due, rpc, outcome in [one for one in out if one[0] <= now]:
+            out.remove((due, rpc, outcome))
+            rpc.sent[0].outcome, rpc.over = outcome, True
+            policy.after(now, rpc, 0, now - rpc.arrived, "hit" if outcome == "completed" else None, None)
+        rpc = rpc_for("read", number % 40, now, now + 1900.0)
+        verdict = send(policy, now, rpc)
+        if verdict[0] == "send":
+            late = slow(number, int(rpc.sent[0].cache[1:]))
+            took = min(verdict[2], 1500.0) if late else 40.0
+            out.append((now + took, rpc, "timeout" if late and verdict[2] < 1500.0 else "completed"))
+        policy.wait(now)
+    return sum(cache.trickle(now) < 1.0 for cache in policy.caches.values()), policy.fleet.value
+
+
+def seventh(number: int, _cache: int) -> bool:
+    return number % 7 == 0
+
+
+def test_clients_that_read_slowly_set_no_cache_aside_and_lower_no_limit() -> None:
+    plain = reading(policy_of(), lambda number, cache: False)
+    assert reading(policy_of(caps={"buffers": 10}), seventh)[0] == 0 == plain[0]
+    assert reading(policy_of(), seventh)[0] > 0  # without the setting they are the caches'
+
+
+def test_a_slow_cache_is_found_among_slow_readers() -> None:
+    policy = policy_of(caps={"buffers": 10})
+    reading(policy, lambda number, cache: cache == 3 or number % 7 == 0)
+    assert policy.caches["c3"].trickle(15_000.0) < 1.0
+
+
+def test_reads_are_not_waited_for_past_their_soft_deadline_while_slow_readers_fill_the_buffers() -> None:
+    for buffers, most in ((10, 500.0), (1000, 2000.0)):
+        policy = policy_of(caps={"buffers": buffers})
+        reading(policy, seventh)
+        patience = send(policy, 15_000.0, rpc_for("read", 7, 15_000.0, 16_900.0))[2]
+        assert most - 500.0 < patience <= most
+    policy = policy_of(caps={"buffers": 10})
+    reading(policy, seventh)
+    assert send(policy, 15_000.0, rpc_for("order", 7, 15_000.0, 16_900.0))[2] == 1900.0
+
+
+# RPCs that fail wherever they go
+
+
+@pytest.mark.parametrize("sort", ["key", "tenant", "method", "none"])
+def test_rpcs_that_fail_everywhere_cost_one_transmission_once_their_sort_is_known(sort: str) -> None:
+    policy, sent = policy_of(), []
+    for number in range(120):
+        now = 50.0 * number
+        rpc = rpc_for("read", 7 if sort == "key" else number, now, now + 1500.0,
+                      "t" if sort == "tenant" else f"t{number}")
+        verdict = send(policy, now, rpc)
+        while verdict[0] == "send":
+            rpc.sent[-1].outcome = "error"
+            verdict = policy.after(now, rpc, len(rpc.sent) - 1, 5.0, None, None)
+        rpc.over = True
+        sent.append(len(rpc.sent))
+        policy.wait(now)
+    assert sum(sent[20:]) <= 1.25 * len(sent[20:])
+    assert not any(cache.trickle(now) < 1.0 for cache in policy.caches.values())
+
+
+def test_a_sort_is_forgotten_when_it_passes_and_others_do_not_suffer() -> None:
+    policy = policy_of()
+    for number in range(60):
+        failing(policy, 50.0 * number, key=7)
+    good = rpc_for("read", 8, 3000.0, 4500.0)
+    assert policy._hopeless(3000.0, rpc_for("read", 7, 3000.0), 5.0)
+    assert send(policy, 3000.0, good)[0] == "send"
+    assert not policy._hopeless(13_000.0, rpc_for("read", 7, 13_000.0), 5.0)
+
+
+def test_a_cache_that_fails_alone_makes_no_sort_hopeless() -> None:
+    policy = policy_of()
+    for number in range(200):
+        now = 20.0 * number
+        rpc = rpc_for("read", number, now, now + 1500.0)
+        verdict = send(policy, now, rpc)
+        while verdict and verdict[0] == "send":
+            rpc.sent[-1].outcome = "error" if verdict[1] == "c3" else "completed"
+            rpc.over = rpc.sent[-1].outcome == "completed"
+            verdict = policy.after(now, rpc, len(rpc.sent) - 1, 30.0, "hit", None)
+        policy.wait(now)
+    assert not policy._hopeless(4000.0, rpc_for("read", 3, 4000.0), 5.0)
+
+
 # The settings
 
 
@@ -135,7 +231,7 @@
     policy, fresh = router.policy, Policy(after, 1, 0.0)
     for name in DERIVED:
         assert getattr(policy, name) == getattr(fresh, name)
-    assert (policy.budget.spare, policy.budget.ratio, policy.skew) == (0, 0.5, 700.0)
+    assert (policy.budget.spare, policy.budget.ratio, policy.skew, policy.buffers) == (0, 0.5, 700.0, 6)
 
 
 @pytest.mark.parametrize("part,name,value", [
@@ -156,9 +252,9 @@
              "leftOffNs": 1_500_000_000, "bootStampErrorNs": 2_000_000}
     settings = SETTINGS | {"rules": SETTINGS["rules"] | rules, "caps": SETTINGS["caps"] | {"responseRoom": 9}}
     policy = Policy(words.deployment(settings), 1, 0.0)
-    assert (policy.budget.spare, policy.budget.ratio, policy.skew, policy.doubt) == (
-        5, 0.1, 1500.0, 2.0)
+    assert (policy.budget.spare, policy.budget.ratio, policy.skew, policy.doubt, policy.buffers) == (
+        5, 0.1, 1500.0, 2.0, 9)
     on_sockets, lines = words.on_sockets(settings)
     policy = Policy(words.deployment(on_sockets), 1, 0.0)
-    assert (policy.budget.spare, policy.skew, policy.doubt) == (5, 0.0, 2.0)
+    assert (policy.budget.spare, policy.skew, policy.doubt, policy.buffers) == (5, 0.0, 2.0, 0)
     assert len(lines) == 2 and "responseRoom" in lines[0] and "leftOffNs" in lines[1]
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -99,6 +99,7 @@
                                 "retry_spare": chance.choice([0, 1, 5]),
                                 "retry_ratio": chance.choice([0.0, 0.03, 0.1])}
     deployment["rules"]["clock_error"] = chance.choice([None, 100.0])
+    deployment["caps"]["buffers"] = chance.choice([None, 4])
     for method in deployment["methods"]:
         method["zones_open"] = chance.choice([None, ["y"]])
         method["kinds_open"] = chance.choice([None, ["box"]])
