Keys stay under weights of the moment; a start makes no jam of fetches behind the caches

And the origin's limit fell at answers of 1.7 usual times though late ones still earn.

Reason for the start: a fetch a cache is what one cache at work may have out; what is over it queued for a second.

--- a/calicofall/facade.py
+++ b/calicofall/facade.py
@@ -19,7 +19,7 @@
 DOUBTED = 1 / 8  # of what a cache owns, that it is sent at first on witnesses' word
 SLACK = 0.01  # ms; a wait that ends within it has ended
 # Of a module, what follows from the settings alone.
-DERIVED = ("most", "soonest", "rank", "places", "quota", "buffers", "skew", "doubt")
+DERIVED = ("most", "soonest", "useful", "rank", "places", "quota", "buffers", "skew", "doubt", "live")
 
 
 class Router:
--- a/calicofall/policy.py
+++ b/calicofall/policy.py
@@ -137,9 +137,13 @@
         data, costs = deployment.get("data") or {}, deployment.get("costs") or {}
         self.dear = (costs.get("connection") or 0.0) / (costs.get("handshake") or inf)  # open, to a new one
         self.zone, self.crossing = deployment.get("zone"), costs.get("cross_zone") or 0.0
-        self.aside = data.get("mode") == "aside"
+        self.aside, self.useful = data.get("mode") == "aside", self.soonest
+        if not self.aside:  # where late answers have some worth, a fetch is of use for longer
+            self.useful = min((m["soft_deadline"] + (m.get("late_gain") or 0.0) * (
+                m["hard_deadline"] - m["soft_deadline"]) for m in self.methods.values()), default=500.0)
         kinds = dict(enumerate(deployment.get("kinds") or []))
         self.origin_kind = kinds.get(data.get("origin_kind", -1)) if self.aside else None
+        self.live = deployment.get("weights") == "live"
         self.caches: dict[str, Cache] = {}
         self.origins: dict[str, Cache] = {}
         self.ledger: Cache | None = None  # the origin that is asked directly
@@ -218,7 +222,9 @@
             cache.zone, cache.kind, cache.cell = zone, machine, cell
             if state == "gone" and cache in known and cache.ready:
                 gone.append(cache)
-            cache.ready, cache.weight = state == "ready", weight if weight and weight > 0 else 1.0
+            # Guards against keys that move with each list where weights follow the load of the moment.
+            least = cache.weight if self.live and cache in known else 0.0
+            cache.ready, cache.weight = state == "ready", max(least, weight if weight and weight > 0 else 1.0)
             cache.drained = state == "draining" or (cache.drained and state != "ready")
         # Guards against lists that call most live caches gone at once, where draining alone binds.
         gone = [cache for cache in gone if not cache.ready and not cache.drained]
@@ -232,8 +238,9 @@
         self.origin.floor = min(self.origin.floor, share / 2) if self.origin_floor else share / 2
         self.fleet.floor, self.origin_floor = 2.5 * share, share / 2
         if first:  # a start to find the limits from
-            # Guards against all proxies having their first whole RPC at the same time.
-            for limit, start in ((self.fleet, 6 * share), (self.origin, 3 * share)):
+            # Guards against all having their first whole RPC at once, and a jam of fetches behind the caches.
+            fetches = 3 * share if self.aside else min(3 * share, max(share, 1.0))
+            for limit, start in ((self.fleet, 6 * share), (self.origin, fetches)):
                 limit.value, limit.spare = start, start * SPAN * (1.0 if start >= 1 else self.chance.random())
 
     def left(self, now: float, rpc: Rpc) -> list[int]:  # its client has left: what to call off
@@ -311,7 +318,7 @@
         # Guards against limits and usual times found in a jam: answers and fetches have to leave time.
         self.fleet.slack = min(max(1.6, self.soonest / 4.0 / self.slowest), 0.6 * self.soonest / self.slowest)
         least, part = (0.2, 0.5) if self.aside else (1.6 if self.seldom else 1.2, 0.8)
-        self.origin.slack = min(2.5, max(least, part * self.soonest / self.fetch_usual))
+        self.origin.slack = min(2.5, max(least, part * self.useful / self.fetch_usual))
         self.seldom = self.sent.count(now) < SELDOM * len(self.usable) * max(1, self.proxies // 2 - 1)
         self.missing = [ring.recent(now, LEAST, 10_000.0) or 0.5 for ring in self.unseen]
         if now >= self.keys_at:
--- a/tests/test_budget.py
+++ b/tests/test_budget.py
@@ -258,3 +258,38 @@
     policy = Policy(words.deployment(on_sockets), 1, 0.0)
     assert (policy.budget.spare, policy.skew, policy.doubt, policy.buffers) == (5, 0.0, 2.0, 0)
     assert len(lines) == 2 and "responseRoom" in lines[0] and "leftOffNs" in lines[1]
+
+
+# Weights of the moment, and a start behind caches
+
+
+def test_keys_stay_where_weights_follow_the_load_of_the_moment() -> None:
+    """gulf-exchange: each list moved keys, and each move was a fetch."""
+    def owners(live: bool) -> list[list[str]]:
+        policy = Policy(fleet() | {"weights": "live" if live else "nominal"}, 1, 0.0)
+        out = []
+        for version, loads in enumerate(([1.0] * 8, [1.0, 0.4, 0.7, 0.3, 1.0, 0.5, 0.8, 0.6], [0.6] * 8)):
+            policy.listed(700.0 * version, "delta" if version else "full", version, [
+                (f"c{i}", "z", "box", 0, "ready", weight, 0.0) for i, weight in enumerate(loads)])
+            out.append([policy._ranking(key)[0].name for key in range(200)])
+        return out
+
+    first, *later = owners(live=True)
+    assert later == [first, first]
+    assert owners(live=False)[1] != first
+
+
+@pytest.mark.parametrize("proxies,caches,starts", [(5, 20, 4.0), (40, 20, 1.0), (200, 4, 0.06)])
+def test_a_start_makes_no_jam_of_fetches_behind_the_caches(proxies: int, caches: int, starts: float) -> None:
+    """All proxies began with three fetches a cache each, and clients left before the first came."""
+    for aside in (False, True):
+        policy = Policy(fleet(aside=aside, proxies=proxies), 1, 0.0)
+        policy.listed(0.0, "full", 1, [(f"c{i}", "z", "box", 0, "ready", None, 0.0) for i in range(caches)])
+        assert policy.origin.value == pytest.approx(3.0 * caches / proxies if aside else starts)
+
+
+@pytest.mark.parametrize("late,useful", [(0.0, 500.0), (0.25, 875.0)])
+def test_fetches_have_the_time_in_which_late_answers_earn(late: float, useful: float) -> None:
+    methods = [method | {"late_gain": late} for method in fleet()["methods"]]
+    assert Policy(fleet(methods=methods), 1, 0.0).useful == useful
+    assert Policy(fleet(aside=True, methods=methods), 1, 0.0).useful == 500.0
