--- a/calicofall/policy.py
+++ b/calicofall/policy.py
@@ -569,7 +569,7 @@
     def _may_send(self, now: float, rpc: Rpc, method: dict) -> bool:
         """The retry budget, the dearer RPCs first; rule 2: whether another may have an effect twice."""
         part = 0.5 + 0.5 * self.rank[rpc.method] if rpc.within_share else 0.25
-        if rpc.sent and not rpc.grants and not self.budget.free(now, part):
+        if rpc.sent and not rpc.grants and not self.budget.free(now, part / self.parts):
             return False
         first, out = rpc.first_run(), any(tx.outcome is None for tx in rpc.sent)
         return not out and (first is None or method["repeats"] == "retriable" or
--- a/tests/test_budget.py
+++ b/tests/test_budget.py
@@ -73,6 +73,18 @@
     assert 4 <= reads <= 6 and failing(policy, 31.0, "order", "full")[0] > 1
 
 
+def test_two_processes_of_one_proxy_keep_to_its_budget_together() -> None:
+    """While one replaces the other the rules see one proxy, and each process counts its own."""
+    def spent(processes: int) -> int:
+        each = [policy_of(**TOLD | {"retry_spare": 8}) for _ in range(processes)]
+        for policy in each:
+            policy.parts = processes
+        return sum(failing(policy, float(now), "order", "full")[0] - 1
+                   for now in range(20) for policy in each)
+
+    assert 0 < spent(2) <= spent(1) + 2  # a tenth of forty RPCs, not of twenty
+
+
 def test_each_miss_allows_one_more_beside_the_budget() -> None:
     origin = ("o", "z", "origin", 0, "ready", None, 0.0)
     policy = policy_of([*BOX, origin], aside=True, **TOLD | {"retry_spare": 0, "retry_ratio": 0.0})
