The start of fetches is as before where a proxy has under three of its own

Change: one fetch a cache only where that leaves a proxy three or more. Test: the case of a small part in a_start_makes_no_jam_of_fetches (tests/test_budget.py) fails without it.

--- a/calicofall/policy.py
+++ b/calicofall/policy.py
@@ -239,7 +239,7 @@
         self.fleet.floor, self.origin_floor = 2.5 * share, share / 2
         if first:  # a start to find the limits from
             # Guards against all having their first whole RPC at once, and a jam of fetches behind the caches.
-            fetches = 3 * share if self.aside else min(3 * share, max(share, 1.0))
+            fetches = 3 * share if self.aside else min(3 * share, max(share, 3.0))
             for limit, start in ((self.fleet, 6 * share), (self.origin, fetches)):
                 limit.value, limit.spare = start, start * SPAN * (1.0 if start >= 1 else self.chance.random())
 
--- a/tests/test_budget.py
+++ b/tests/test_budget.py
@@ -291,7 +291,7 @@
     assert owners(live=False)[1] != first
 
 
-@pytest.mark.parametrize("proxies,caches,starts", [(5, 20, 4.0), (40, 20, 1.0), (200, 4, 0.06)])
+@pytest.mark.parametrize("proxies,caches,starts", [(5, 20, 4.0), (5, 10, 3.0), (40, 20, 1.5), (200, 4, 0.06)])
 def test_a_start_makes_no_jam_of_fetches_behind_the_caches(proxies: int, caches: int, starts: float) -> None:
     """All proxies began with three fetches a cache each, and clients left before the first came."""
     for aside in (False, True):
