--- a/calicofall/policy.py
+++ b/calicofall/policy.py
@@ -239,7 +239,7 @@
         self.fleet.floor, self.origin_floor = 2.5 * share, share / 2
         if first:  # a start to find the limits from
             # Guards against all having their first whole RPC at once, and a jam of fetches behind the caches.
-            fetches = 3 * share if self.aside else min(3 * share, max(share, 1.0))
+            fetches = 3 * share if self.aside else min(3 * share, max(share, 3.0))
             for limit, start in ((self.fleet, 6 * share), (self.origin, fetches)):
                 limit.value, limit.spare = start, start * SPAN * (1.0 if start >= 1 else self.chance.random())
 
@@ -569,7 +569,7 @@
     def _may_send(self, now: float, rpc: Rpc, method: dict) -> bool:
         """The retry budget, the dearer RPCs first; rule 2: whether another may have an effect twice."""
         part = 0.5 + 0.5 * self.rank[rpc.method] if rpc.within_share else 0.25
-        if rpc.sent and not rpc.grants and not self.budget.free(now, part):
+        if rpc.sent and not rpc.grants and not self.budget.free(now, part / self.parts):
             return False
         first, out = rpc.first_run(), any(tx.outcome is None for tx in rpc.sent)
         return not out and (first is None or method["repeats"] == "retriable" or
