--- a/calicofall/policy.py
+++ b/calicofall/policy.py
@@ -649,7 +649,7 @@
     def _crowded(self, now: float, method: dict) -> bool:
         """Whether slow readers would fill half of the buffers, were they waited for to the end."""
         rest = method["hard_deadline"] - method["soft_deadline"]
-        return 0 < self.buffers < 2.0 * self.lates.count(now) / 4_000.0 * rest  # nothing is counted without any
+        return 0 < self.buffers < 2.0 * self.lates.count(now) / 4_000.0 * rest  # without any none is counted
 
     def _learn(self, now: float, rpc: Rpc, cache: Cache, outcome: str, took: float, note: str | None,
                fetch: float, report: object = None) -> None:
