Review, case 1: a second copy of an answer goes to another request

Cause: ConnectionPool.acquire takes a connection that has just become idle if no settled one is there, and UpstreamConnection.on_reply gives a late second copy to the first pending command.

--- /dev/null
+++ b/review/1/case.py
@@ -0,0 +1,105 @@
+"""Cache nodes send one answer in ten a second time, 4 ms late. No client may get another request's value.
+
+A cache node sends the second copy only if nothing else has reached it on that connection since: neither a whole
+command nor a byte of one. Between proxy and cache nodes bytes take 1 ms in each direction, with and without the
+disruption. Ten clients read, each one request at a time; a value names the key and the request's id.
+"""
+
+import asyncio
+import contextlib
+import random
+import select
+import sys
+from pathlib import Path
+
+sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "lib"))
+
+from rig import BROKEN, HELD, TROUBLE, Cache, Agent, Case, CouldNotRun, Link, encode, node, small_settings
+
+CACHES = 4
+CLIENTS = 10
+READS = 150  # of each client
+PAUSE_S = 0.033  # of a client between two reads, in the mean
+LINK_S = 0.001
+COPIES = 0.1  # share of the answers that are sent twice
+LATE_S = 0.004  # the second copy after the first
+generator = random.Random(3)
+
+
+class RepeatingCache(Cache):
+    """A cache node that sends some of its answers a second time when nothing else waits on the connection."""
+
+    copies = 0
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        commands = 0
+        raw_socket = writer.get_extra_info("socket")
+
+        async def repeat(number: int, answer: bytes) -> None:
+            await asyncio.sleep(LATE_S)
+            nothing_unread = not select.select([raw_socket.fileno()], [], [], 0)[0]
+            if commands == number and nothing_unread and not writer.is_closing():
+                RepeatingCache.copies += 1
+                self.record(self.name, "sends a second copy of", answer[:40])
+                writer.write(answer)
+
+        with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError, asyncio.CancelledError):
+            while True:
+                first = await reader.readexactly(1)
+                commands += 1  # from its first byte on something else waits here
+                count = int((first + await reader.readuntil(b"\r\n"))[1:])
+                command = []
+                for _ in range(count):
+                    length = int((await reader.readuntil(b"\r\n"))[1:])
+                    command.append((await reader.readexactly(length + 2))[:-2])
+                answer = await self.answer(command)
+                writer.write(answer)
+                await writer.drain()
+                if TROUBLE and generator.random() < COPIES:
+                    asyncio.create_task(repeat(commands, answer))
+        with contextlib.suppress(Exception):
+            writer.close()
+
+
+async def body(case: Case) -> int:
+    record = case.record
+    caches = [RepeatingCache(f"c{number}", record) for number in range(CACHES)]
+    entries = []
+    for cache in caches:
+        await cache.start()
+        entries.append(cache.entry() | {"address": await Link(cache.address, LINK_S).start()})
+    discovery = await Agent(entries).start()
+    proxy = case.proxy("n0", node("n0", discovery, small_settings(balancers=3)))
+    await proxy.start()
+    await proxy.wait_ready()
+    counts = {"asked": 0, "served": 0, "not served": 0, "foreign": 0}
+
+    async def client(number: int) -> None:
+        reader, writer = await asyncio.open_connection(proxy.host, proxy.port)
+        for turn in range(READS):
+            key, request_id = b"%x" % generator.randrange(1, 20), b"%x" % (number * 10_000 + turn + 1)
+            writer.write(encode(b"C.GET", key, request_id, b"c=read,t=acme,d=1000"))
+            counts["asked"] += 1
+            answer = await reader.readline()
+            if answer[:1] == b"$":
+                value = (await reader.readexactly(int(answer[1:]) + 2))[:-2]
+                wanted = b"value-of-" + key + b"-for-" + request_id
+                counts["served" if value == wanted else "foreign"] += 1
+                if value != wanted:
+                    record("client", number, "was to get", wanted, "and got", value)
+            elif answer[:1] == b"-":
+                counts["not served"] += 1
+                record("client", number, "got", answer)
+            else:
+                raise CouldNotRun(f"client {number} got {answer!r}")
+            await asyncio.sleep(generator.expovariate(1.0 / PAUSE_S))
+        writer.close()
+
+    await asyncio.gather(*map(client, range(CLIENTS)))
+    record(counts, "second copies:", RepeatingCache.copies)
+    if counts["served"] < counts["asked"] / 10:
+        raise CouldNotRun("hardly anything was served")
+    return BROKEN if counts["foreign"] else HELD
+
+
+Case(__file__).run(body)
