Review, case 1: orders too, which run twice or are served without having run

Cause: once a second copy has gone to another request, a connection stays one answer behind, so that a -BUSY or a receipt counts for the wrong order. Change: half of the requests are orders, one command in twenty is turned away; case 2 bounds a client's writing.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,8 +1,10 @@
-"""Cache nodes send one answer in ten a second time, 4 ms late. No client may get another request's value.
+"""Cache nodes send one good answer in ten a second time, 4 ms late. No client may get another request's answer.
 
 A cache node sends the second copy only if nothing else has reached it on that connection since: neither a whole
-command nor a byte of one. Between proxy and cache nodes bytes take 1 ms in each direction, with and without the
-disruption. Ten clients read, each one request at a time; a value names the key and the request's id.
+command nor a byte of one. Between proxy and cache nodes bytes take 1 ms in each direction, and one command in twenty is
+turned away with -BUSY (queue full), with and without the disruption. Ten clients ask, each one request at a time:
+half of it reads, half of it orders (`side_effect`). A value names the key and the request's id, a receipt the id. Also
+checked, since it follows: no order runs twice, and none is served without having run.
 """
 
 import asyncio
@@ -18,12 +20,14 @@
 
 CACHES = 4
 CLIENTS = 10
-READS = 150  # of each client
-PAUSE_S = 0.033  # of a client between two reads, in the mean
+REQUESTS = 150  # of each client
+PAUSE_S = 0.033  # of a client between two requests, in the mean
 LINK_S = 0.001
 COPIES = 0.1  # share of the answers that are sent twice
 LATE_S = 0.004  # the second copy after the first
+TURNED_AWAY = 0.05  # share of the commands
 generator = random.Random(3)
+runs: dict[bytes, int] = {}  # of orders, by the request's id
 
 
 class RepeatingCache(Cache):
@@ -52,7 +56,15 @@
                 for _ in range(count):
                     length = int((await reader.readuntil(b"\r\n"))[1:])
                     command.append((await reader.readexactly(length + 2))[:-2])
+                if generator.random() < TURNED_AWAY:
+                    self.record(self.name, "turns away", command[2])
+                    writer.write(b"-BUSY\r\n")
+                    await writer.drain()
+                    continue
                 answer = await self.answer(command)
+                if command[0] == b"C.SET":
+                    runs[command[2]] = runs.get(command[2], 0) + 1
+                    self.record(self.name, "has run order", command[2])
                 writer.write(answer)
                 await writer.drain()
                 if TROUBLE and generator.random() < COPIES:
@@ -69,21 +81,31 @@
         await cache.start()
         entries.append(cache.entry() | {"address": await Link(cache.address, LINK_S).start()})
     discovery = await Agent(entries).start()
-    proxy = case.proxy("n0", node("n0", discovery, small_settings(balancers=3)))
+    settings = small_settings(balancers=3)
+    settings["methods"] += [settings["methods"][1] | {"name": "order", "effect": "side_effect"}]
+    proxy = case.proxy("n0", node("n0", discovery, settings))
     await proxy.start()
     await proxy.wait_ready()
     counts = {"asked": 0, "served": 0, "not served": 0, "foreign": 0}
+    served_orders: set[bytes] = set()
 
     async def client(number: int) -> None:
         reader, writer = await asyncio.open_connection(proxy.host, proxy.port)
-        for turn in range(READS):
+        for turn in range(REQUESTS):
             key, request_id = b"%x" % generator.randrange(1, 20), b"%x" % (number * 10_000 + turn + 1)
-            writer.write(encode(b"C.GET", key, request_id, b"c=read,t=acme,d=1000"))
+            is_order = generator.random() < 0.5
+            if is_order:
+                writer.write(encode(b"C.SET", key, request_id, b"c=order,t=acme,d=1000", b"one"))
+                wanted = b"receipt-of-" + request_id
+            else:
+                writer.write(encode(b"C.GET", key, request_id, b"c=read,t=acme,d=1000"))
+                wanted = b"value-of-" + key + b"-for-" + request_id
             counts["asked"] += 1
             answer = await reader.readline()
             if answer[:1] == b"$":
                 value = (await reader.readexactly(int(answer[1:]) + 2))[:-2]
-                wanted = b"value-of-" + key + b"-for-" + request_id
+                if is_order:
+                    served_orders.add(request_id)
                 counts["served" if value == wanted else "foreign"] += 1
                 if value != wanted:
                     record("client", number, "was to get", wanted, "and got", value)
@@ -96,10 +118,13 @@
         writer.close()
 
     await asyncio.gather(*map(client, range(CLIENTS)))
+    twice = [request_id for request_id, count in runs.items() if count > 1]
+    never = [request_id for request_id in served_orders if request_id not in runs]
+    record("orders run twice:", twice, "orders served that never ran:", never)
     record(counts, "second copies:", RepeatingCache.copies)
     if counts["served"] < counts["asked"] / 10:
         raise CouldNotRun("hardly anything was served")
-    return BROKEN if counts["foreign"] else HELD
+    return BROKEN if counts["foreign"] or twice or never else HELD
 
 
 Case(__file__).run(body)
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -24,7 +24,7 @@
 PIECE_PAUSE_S = 0.03
 WAIT_MS = 3000  # d
 DUE_S = WAIT_MS / 1000.0 + 0.5
-PATIENCE_S = 8.0  # for which a client is looked at, from the last byte on
+PATIENCE_S = 8.0  # for which a client is looked at, from the last byte on; to write has as long
 
 
 async def body(case: Case) -> int:
@@ -54,11 +54,12 @@
         names = b"c=put,t=acme,d=%d,k=%x" % (WAIT_MS, 5000 + number)
         data = encode(b"C.SET", b"%x" % (number + 1), b"%x" % (1000 + number), names, value)
         try:
-            for begin in range(0, len(data), PIECE_BYTES):
-                await loop.sock_sendall(raw_socket, data[begin : begin + PIECE_BYTES])
-                await asyncio.sleep(PIECE_PAUSE_S)
-        except OSError as error:  # turned away before its last byte was written: it was not taken
-            record("client", number, "was turned away while it wrote:", repr(error))
+            async with asyncio.timeout(PATIENCE_S):
+                for begin in range(0, len(data), PIECE_BYTES):
+                    await loop.sock_sendall(raw_socket, data[begin : begin + PIECE_BYTES])
+                    await asyncio.sleep(PIECE_PAUSE_S)
+        except (OSError, TimeoutError) as error:  # its last byte was not written: it was not taken
+            record("client", number, "could not write its last byte:", repr(error))
             raw_socket.close()
             return
         written_at = time.monotonic()
