--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,88 +1,130 @@
-"""Many clients write values of 1 MiB at once, in pieces of 64 KiB. Each has to get its final answer in time.
+"""Cache nodes send one good answer in ten a second time, 4 ms late. No client may get another request's answer.
 
-Clients and cache nodes are sound: a client writes its command in half a second, keeps its connection and waits; a
-cache node answers after 5 ms. An answer is owed `d` and half a second after the command's last byte was written.
-Without the disruption the same clients write six at a time.
+A cache node sends the second copy only if nothing else has reached it on that connection since: neither a whole
+command nor a byte of one. Between proxy and cache nodes bytes take 1 ms in each direction, and one command in twenty is
+turned away with -BUSY (queue full), with and without the disruption. Ten clients ask, each one request at a time:
+half of it reads, half of it orders (`side_effect`). A value names the key and the request's id, a receipt the id. Also
+checked, since it follows: no order runs twice, and none is served without having run.
 """
 
 import asyncio
-import os
-import socket
+import contextlib
+import random
+import select
 import sys
-import time
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "lib"))
 
-from rig import BROKEN, HELD, TROUBLE, Agent, Cache, Case, CouldNotRun, encode, node, small_settings
+from rig import BROKEN, HELD, TROUBLE, Cache, Agent, Case, CouldNotRun, Link, encode, node, small_settings
 
-CACHES = 6
-CLIENTS = 48
-AT_ONCE = CLIENTS if TROUBLE else 6
-VALUE_BYTES = 1 << 20
-PIECE_BYTES = 1 << 16
-PIECE_PAUSE_S = 0.03
-WAIT_MS = 3000  # d
-DUE_S = WAIT_MS / 1000.0 + 0.5
-PATIENCE_S = 8.0  # for which a client is looked at, from the last byte on; to write has as long
+CACHES = 4
+CLIENTS = 10
+REQUESTS = 150  # of each client
+PAUSE_S = 0.033  # of a client between two requests, in the mean
+LINK_S = 0.001
+COPIES = 0.1  # share of the answers that are sent twice
+LATE_S = 0.004  # the second copy after the first
+TURNED_AWAY = 0.05  # share of the commands
+generator = random.Random(3)
+runs: dict[bytes, int] = {}  # of orders, by the request's id
+
+
+class RepeatingCache(Cache):
+    """A cache node that sends some of its answers a second time when nothing else waits on the connection."""
+
+    copies = 0
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        commands = 0
+        raw_socket = writer.get_extra_info("socket")
+
+        async def repeat(number: int, answer: bytes) -> None:
+            await asyncio.sleep(LATE_S)
+            nothing_unread = not select.select([raw_socket.fileno()], [], [], 0)[0]
+            if commands == number and nothing_unread and not writer.is_closing():
+                RepeatingCache.copies += 1
+                self.record(self.name, "sends a second copy of", answer[:40])
+                writer.write(answer)
+
+        with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError, asyncio.CancelledError):
+            while True:
+                first = await reader.readexactly(1)
+                commands += 1  # from its first byte on something else waits here
+                count = int((first + await reader.readuntil(b"\r\n"))[1:])
+                command = []
+                for _ in range(count):
+                    length = int((await reader.readuntil(b"\r\n"))[1:])
+                    command.append((await reader.readexactly(length + 2))[:-2])
+                if generator.random() < TURNED_AWAY:
+                    self.record(self.name, "turns away", command[2])
+                    writer.write(b"-BUSY\r\n")
+                    await writer.drain()
+                    continue
+                answer = await self.answer(command)
+                if command[0] == b"C.SET":
+                    runs[command[2]] = runs.get(command[2], 0) + 1
+                    self.record(self.name, "has run order", command[2])
+                writer.write(answer)
+                await writer.drain()
+                if TROUBLE and generator.random() < COPIES:
+                    asyncio.create_task(repeat(commands, answer))
+        with contextlib.suppress(Exception):
+            writer.close()
 
 
 async def body(case: Case) -> int:
     record = case.record
-    caches = [Cache(f"c{number}", record) for number in range(CACHES)]
+    caches = [RepeatingCache(f"c{number}", record) for number in range(CACHES)]
+    entries = []
     for cache in caches:
         await cache.start()
-    discovery = await Agent([cache.entry() for cache in caches]).start()
-    limits = {"cores": 1.0, "memory_mb": 96, "sockets": 1024}
-    proxy = case.proxy("n0", node("n0", discovery, small_settings(), limits=limits))
+        entries.append(cache.entry() | {"address": await Link(cache.address, LINK_S).start()})
+    discovery = await Agent(entries).start()
+    settings = small_settings(balancers=3)
+    settings["methods"] += [settings["methods"][1] | {"name": "order", "effect": "side_effect"}]
+    proxy = case.proxy("n0", node("n0", discovery, settings))
     await proxy.start()
     await proxy.wait_ready()
-    loop = asyncio.get_running_loop()
-    value = os.urandom(VALUE_BYTES)
-    room = asyncio.Semaphore(AT_ONCE)
-    lost: list[int] = []
-    answered: list[int] = []
+    counts = {"asked": 0, "served": 0, "not served": 0, "foreign": 0}
+    served_orders: set[bytes] = set()
 
     async def client(number: int) -> None:
-        async with room:
-            await write(number)
-
-    async def write(number: int) -> None:
-        raw_socket = socket.socket()
-        raw_socket.setblocking(False)
-        await loop.sock_connect(raw_socket, (proxy.host, proxy.port))
-        names = b"c=put,t=acme,d=%d,k=%x" % (WAIT_MS, 5000 + number)
-        data = encode(b"C.SET", b"%x" % (number + 1), b"%x" % (1000 + number), names, value)
-        try:
-            async with asyncio.timeout(PATIENCE_S):
-                for begin in range(0, len(data), PIECE_BYTES):
-                    await loop.sock_sendall(raw_socket, data[begin : begin + PIECE_BYTES])
-                    await asyncio.sleep(PIECE_PAUSE_S)
-        except (OSError, TimeoutError) as error:  # its last byte was not written: it was not taken
-            record("client", number, "could not write its last byte:", repr(error))
-            raw_socket.close()
-            return
-        written_at = time.monotonic()
-        record("client", number, "has written its last byte")
-        try:
-            async with asyncio.timeout(PATIENCE_S):
-                answer = await loop.sock_recv(raw_socket, 4096)
-        except TimeoutError:
-            answer = None
-        except OSError as error:
-            answer = repr(error).encode()
-        after_s = time.monotonic() - written_at
-        what = f"no answer for {after_s:.1f} s" if answer is None else f"{answer[:40]!r} after {after_s:.3f} s"
-        record("client", number, what)
-        in_time = answer is not None and answer[:1] in (b"$", b"*", b"-") and after_s <= DUE_S
-        (answered if in_time else lost).append(number)
-        raw_socket.close()
+        reader, writer = await asyncio.open_connection(proxy.host, proxy.port)
+        for turn in range(REQUESTS):
+            key, request_id = b"%x" % generator.randrange(1, 20), b"%x" % (number * 10_000 + turn + 1)
+            is_order = generator.random() < 0.5
+            if is_order:
+                writer.write(encode(b"C.SET", key, request_id, b"c=order,t=acme,d=1000", b"one"))
+                wanted = b"receipt-of-" + request_id
+            else:
+                writer.write(encode(b"C.GET", key, request_id, b"c=read,t=acme,d=1000"))
+                wanted = b"value-of-" + key + b"-for-" + request_id
+            counts["asked"] += 1
+            answer = await reader.readline()
+            if answer[:1] == b"$":
+                value = (await reader.readexactly(int(answer[1:]) + 2))[:-2]
+                if is_order:
+                    served_orders.add(request_id)
+                counts["served" if value == wanted else "foreign"] += 1
+                if value != wanted:
+                    record("client", number, "was to get", wanted, "and got", value)
+            elif answer[:1] == b"-":
+                counts["not served"] += 1
+                record("client", number, "got", answer)
+            else:
+                raise CouldNotRun(f"client {number} got {answer!r}")
+            await asyncio.sleep(generator.expovariate(1.0 / PAUSE_S))
+        writer.close()
 
     await asyncio.gather(*map(client, range(CLIENTS)))
-    record("written whole:", len(lost) + len(answered), "answered in time:", len(answered), "lost:", len(lost))
-    if proxy.exited or not lost + answered:
-        raise CouldNotRun("the proxy has ended, or no command was written whole")
-    return BROKEN if lost else HELD
+    twice = [request_id for request_id, count in runs.items() if count > 1]
+    never = [request_id for request_id in served_orders if request_id not in runs]
+    record("orders run twice:", twice, "orders served that never ran:", never)
+    record(counts, "second copies:", RepeatingCache.copies)
+    if counts["served"] < counts["asked"] / 10:
+        raise CouldNotRun("hardly anything was served")
+    return BROKEN if counts["foreign"] or twice or never else HELD
 
 
 Case(__file__).run(body)
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,97 +1,88 @@
-"""Many clients write values of 4 MiB within a second. The proxy has to stay under its limit of memory.
+"""Many clients write values of 1 MiB at once, in pieces of 64 KiB. Each has to get its final answer in time.
 
-Clients and cache nodes are sound: a client writes its command at once and waits; a cache node answers a write after
-one second, within the method's aim of 1.5 s. The platform kills a proxy that is over its limit; the script does so
-once it is over by a quarter, so that how far it goes can be seen. Without the disruption the same clients write two
-at a time.
+Clients and cache nodes are sound: a client writes its command in half a second, keeps its connection and waits; a
+cache node answers after 5 ms. An answer is owed `d` and half a second after the command's last byte was written.
+Without the disruption the same clients write six at a time.
 """
 
 import asyncio
-import contextlib
 import os
-import signal
+import socket
 import sys
+import time
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "lib"))
 
-from rig import BROKEN, HELD, TROUBLE, Agent, Cache, Case, CouldNotRun, encode, node, reply, small_settings
+from rig import BROKEN, HELD, TROUBLE, Agent, Cache, Case, CouldNotRun, encode, node, small_settings
 
-CACHES = 12
-CLIENTS = 32
-AT_ONCE = CLIENTS if TROUBLE else 2
-BETWEEN_S = 0.025  # between the beginnings of two writes
-VALUE_BYTES = 4 << 20
-WORK_S = 1.0
-MEMORY_MB = 96
-KILLED_AT_MB = 1.25 * MEMORY_MB
+CACHES = 6
+CLIENTS = 48
+AT_ONCE = CLIENTS if TROUBLE else 6
+VALUE_BYTES = 1 << 20
+PIECE_BYTES = 1 << 16
+PIECE_PAUSE_S = 0.03
+WAIT_MS = 3000  # d
+DUE_S = WAIT_MS / 1000.0 + 0.5
+PATIENCE_S = 8.0  # for which a client is looked at, from the last byte on; to write has as long
 
 
 async def body(case: Case) -> int:
     record = case.record
-
-    async def answer(command: list[bytes]) -> bytes:
-        await asyncio.sleep(WORK_S)
-        return reply(b"receipt-of-" + command[2])
-
     caches = [Cache(f"c{number}", record) for number in range(CACHES)]
     for cache in caches:
         await cache.start()
-        cache.answer = answer
     discovery = await Agent([cache.entry() for cache in caches]).start()
-    limits = {"cores": 1.0, "memory_mb": MEMORY_MB, "sockets": 1024}
+    limits = {"cores": 1.0, "memory_mb": 96, "sockets": 1024}
     proxy = case.proxy("n0", node("n0", discovery, small_settings(), limits=limits))
     await proxy.start()
     await proxy.wait_ready()
-    record("ready with", round(proxy.memory_mb(), 1), "MB of", MEMORY_MB)
+    loop = asyncio.get_running_loop()
     value = os.urandom(VALUE_BYTES)
     room = asyncio.Semaphore(AT_ONCE)
-    peak_mb = 0.0
-    killed = False
     lost: list[int] = []
-
-    async def platform() -> None:
-        nonlocal peak_mb, killed
-        was_over = False
-        while True:
-            peak_mb = max(peak_mb, proxy.memory_mb())
-            if peak_mb > MEMORY_MB and not was_over:
-                was_over = True
-                record("the proxy is over its limit:", round(peak_mb, 1), "MB of", MEMORY_MB)
-            if peak_mb > KILLED_AT_MB and not killed:
-                killed = True
-                record("the proxy has", round(peak_mb, 1), "MB of", MEMORY_MB, "and is killed")
-                proxy.signal(signal.SIGKILL)
-            await asyncio.sleep(0.01)
+    answered: list[int] = []
 
     async def client(number: int) -> None:
-        await asyncio.sleep(number * BETWEEN_S)
         async with room:
-            if killed:
-                return
-            with contextlib.suppress(ConnectionRefusedError):
-                await write(number)
+            await write(number)
 
     async def write(number: int) -> None:
-        reader, writer = await asyncio.open_connection(proxy.host, proxy.port)
-        names = b"c=put,t=acme,d=3000,k=%x" % (5000 + number)
-        writer.write(encode(b"C.SET", b"%x" % (number + 1), b"%x" % (1000 + number), names, value))
-        first = b""
-        with contextlib.suppress(ConnectionError):
-            await writer.drain()
-            first = await reader.readline()
-        record("client", number, "got", first or "no answer: its connection has ended")
-        if not first:
-            lost.append(number)
-        writer.close()
+        raw_socket = socket.socket()
+        raw_socket.setblocking(False)
+        await loop.sock_connect(raw_socket, (proxy.host, proxy.port))
+        names = b"c=put,t=acme,d=%d,k=%x" % (WAIT_MS, 5000 + number)
+        data = encode(b"C.SET", b"%x" % (number + 1), b"%x" % (1000 + number), names, value)
+        try:
+            async with asyncio.timeout(PATIENCE_S):
+                for begin in range(0, len(data), PIECE_BYTES):
+                    await loop.sock_sendall(raw_socket, data[begin : begin + PIECE_BYTES])
+                    await asyncio.sleep(PIECE_PAUSE_S)
+        except (OSError, TimeoutError) as error:  # its last byte was not written: it was not taken
+            record("client", number, "could not write its last byte:", repr(error))
+            raw_socket.close()
+            return
+        written_at = time.monotonic()
+        record("client", number, "has written its last byte")
+        try:
+            async with asyncio.timeout(PATIENCE_S):
+                answer = await loop.sock_recv(raw_socket, 4096)
+        except TimeoutError:
+            answer = None
+        except OSError as error:
+            answer = repr(error).encode()
+        after_s = time.monotonic() - written_at
+        what = f"no answer for {after_s:.1f} s" if answer is None else f"{answer[:40]!r} after {after_s:.3f} s"
+        record("client", number, what)
+        in_time = answer is not None and answer[:1] in (b"$", b"*", b"-") and after_s <= DUE_S
+        (answered if in_time else lost).append(number)
+        raw_socket.close()
 
-    watching = asyncio.create_task(platform())
     await asyncio.gather(*map(client, range(CLIENTS)))
-    watching.cancel()
-    record("peak:", round(peak_mb, 1), "MB of", MEMORY_MB, "- clients left without an answer:", len(lost))
-    if proxy.exited and not killed:
-        raise CouldNotRun("the proxy has ended by itself")
-    return BROKEN if peak_mb > MEMORY_MB else HELD
+    record("written whole:", len(lost) + len(answered), "answered in time:", len(answered), "lost:", len(lost))
+    if proxy.exited or not lost + answered:
+        raise CouldNotRun("the proxy has ended, or no command was written whole")
+    return BROKEN if lost else HELD
 
 
 Case(__file__).run(body)
