--- a/review/1/case.py
+++ b/review/1/case.py
@@ -67,9 +67,13 @@
                 command = await read_command(reader)
                 if TROUBLE and int(fields(command)["d"]) <= HURRIED_MS:
                     HurriedCache.drops += 1
-                    self.record(self.name, "drops", command[0].decode(), command[2].decode(), command[3].decode())
+                    self.record(
+                        self.name, "drops", command[0].decode(), command[2].decode(), command[3].decode()
+                    )
                     continue
-                self.record(self.name, "begins", command[0].decode(), command[2].decode(), command[3].decode())
+                self.record(
+                    self.name, "begins", command[0].decode(), command[2].decode(), command[3].decode()
+                )
                 queue.put_nowait(asyncio.create_task(self.work(command)))
         answering.cancel()
         with contextlib.suppress(Exception):
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -72,14 +72,18 @@
         except OSError as error:
             answer = repr(error).encode()
         after_s = time.monotonic() - written_at
-        what = f"no answer for {after_s:.1f} s" if answer is None else f"{answer[:40]!r} after {after_s:.3f} s"
+        what = (
+            f"no answer for {after_s:.1f} s" if answer is None else f"{answer[:40]!r} after {after_s:.3f} s"
+        )
         record("client", number, what)
         in_time = answer is not None and answer[:1] in (b"$", b"*", b"-") and after_s <= DUE_S
         (answered if in_time else lost).append(number)
         raw_socket.close()
 
     await asyncio.gather(*map(client, range(CLIENTS)))
-    record("written whole:", len(lost) + len(answered), "answered in time:", len(answered), "lost:", len(lost))
+    record(
+        "written whole:", len(lost) + len(answered), "answered in time:", len(answered), "lost:", len(lost)
+    )
     if proxy.exited or not lost + answered:
         raise CouldNotRun("the proxy has ended, or no command was written whole")
     return BROKEN if lost else HELD
--- a/review/lib/rig.py
+++ b/review/lib/rig.py
@@ -233,7 +233,9 @@
         with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError, asyncio.CancelledError):
             while True:
                 command = await read_command(reader)
-                self.record(self.name, "begins", command[0].decode(), command[2].decode(), command[3].decode())
+                self.record(
+                    self.name, "begins", command[0].decode(), command[2].decode(), command[3].decode()
+                )
                 writer.write(await self.answer(command))
                 await writer.drain()
         with contextlib.suppress(Exception):
