Review: each case names its record.txt, which has each request sent, answered and run

Cause: the record was written by review/lib alone, so that no case showed it, and it lacked most requests and answers. Change: each case.py gives the path of its record; each request sent, each answer and each run is a line.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -33,6 +33,7 @@
     small_settings,
 )
 
+RECORD = Path(__file__).resolve().parent / "record.txt"  # what was sent, answered and run
 CACHES = 3
 CONNECTIONS = 4  # that one cache node holds, as the settings tell
 CLIENTS = 24
@@ -85,6 +86,7 @@
             return b"-BUSY\r\n"
         if command[0] == b"C.SET":
             runs[command[2]] = runs.get(command[2], 0) + 1
+            self.record(self.name, "has run order", command[2])
         await asyncio.sleep(generator.uniform(*WORK_S))
         if command[0] == b"C.SET":
             return reply(b"receipt-of-" + command[2])
@@ -119,14 +121,16 @@
                 writer.write(encode(b"C.GET", key, request_id, b"c=read,t=acme,d=%d" % wait_ms))
                 wanted = b"value-of-" + key + b"-for-" + request_id
             counts["asked"] += 1
+            record("client", number, "has sent", request_id, "order" if is_order else "read", f"d={wait_ms}")
             answer = await reader.readline()
             if answer[:1] == b"$":
                 value = (await reader.readexactly(int(answer[1:]) + 2))[:-2]
                 if is_order:
                     served_orders.add(request_id)
                 counts["served" if value == wanted else "foreign"] += 1
-                if value != wanted:
-                    record("client", number, "was to get", wanted, "and got", value)
+                record(
+                    "client", number, "got", value, "for", request_id, "" if value == wanted else "- FOREIGN"
+                )
             elif answer[:1] == b"-":
                 counts["not served"] += 1
                 record("client", number, "got", answer, "for", request_id)
@@ -145,4 +149,4 @@
     return BROKEN if counts["foreign"] or twice or never else HELD
 
 
-Case(__file__).run(body)
+Case(RECORD).run(body)
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -18,6 +18,7 @@
 
 from rig import BROKEN, HELD, TROUBLE, Cache, Agent, Case, CouldNotRun, Link, encode, node, small_settings
 
+RECORD = Path(__file__).resolve().parent / "record.txt"  # what was sent, answered and run
 CACHES = 4
 CLIENTS = 10
 REQUESTS = 150  # of each client
@@ -56,6 +57,9 @@
                 for _ in range(count):
                     length = int((await reader.readuntil(b"\r\n"))[1:])
                     command.append((await reader.readexactly(length + 2))[:-2])
+                self.record(
+                    self.name, "begins", command[0].decode(), command[2].decode(), command[3].decode()
+                )
                 if generator.random() < TURNED_AWAY:
                     self.record(self.name, "turns away", command[2])
                     writer.write(b"-BUSY\r\n")
@@ -101,17 +105,19 @@
                 writer.write(encode(b"C.GET", key, request_id, b"c=read,t=acme,d=1000"))
                 wanted = b"value-of-" + key + b"-for-" + request_id
             counts["asked"] += 1
+            record("client", number, "has sent", request_id, "order" if is_order else "read", "d=1000")
             answer = await reader.readline()
             if answer[:1] == b"$":
                 value = (await reader.readexactly(int(answer[1:]) + 2))[:-2]
                 if is_order:
                     served_orders.add(request_id)
                 counts["served" if value == wanted else "foreign"] += 1
-                if value != wanted:
-                    record("client", number, "was to get", wanted, "and got", value)
+                record(
+                    "client", number, "got", value, "for", request_id, "" if value == wanted else "- FOREIGN"
+                )
             elif answer[:1] == b"-":
                 counts["not served"] += 1
-                record("client", number, "got", answer)
+                record("client", number, "got", answer, "for", request_id)
             else:
                 raise CouldNotRun(f"client {number} got {answer!r}")
             await asyncio.sleep(generator.expovariate(1.0 / PAUSE_S))
@@ -127,4 +133,4 @@
     return BROKEN if counts["foreign"] or twice or never else HELD
 
 
-Case(__file__).run(body)
+Case(RECORD).run(body)
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -16,6 +16,7 @@
 
 from rig import BROKEN, HELD, TROUBLE, Agent, Cache, Case, CouldNotRun, encode, node, small_settings
 
+RECORD = Path(__file__).resolve().parent / "record.txt"  # what was sent, answered and run
 CACHES = 6
 CLIENTS = 48
 AT_ONCE = CLIENTS if TROUBLE else 6
@@ -51,19 +52,21 @@
         raw_socket = socket.socket()
         raw_socket.setblocking(False)
         await loop.sock_connect(raw_socket, (proxy.host, proxy.port))
+        request_id = b"%x" % (1000 + number)
+        record("client", number, "begins to write", request_id, len(value), "bytes", f"d={WAIT_MS}")
         names = b"c=put,t=acme,d=%d,k=%x" % (WAIT_MS, 5000 + number)
-        data = encode(b"C.SET", b"%x" % (number + 1), b"%x" % (1000 + number), names, value)
+        data = encode(b"C.SET", b"%x" % (number + 1), request_id, names, value)
         try:
             async with asyncio.timeout(PATIENCE_S):
                 for begin in range(0, len(data), PIECE_BYTES):
                     await loop.sock_sendall(raw_socket, data[begin : begin + PIECE_BYTES])
                     await asyncio.sleep(PIECE_PAUSE_S)
         except (OSError, TimeoutError) as error:  # its last byte was not written: it was not taken
-            record("client", number, "could not write its last byte:", repr(error))
+            record("client", number, "could not write the last byte of", request_id, repr(error))
             raw_socket.close()
             return
         written_at = time.monotonic()
-        record("client", number, "has written its last byte")
+        record("client", number, "has written the last byte of", request_id)
         try:
             async with asyncio.timeout(PATIENCE_S):
                 answer = await loop.sock_recv(raw_socket, 4096)
@@ -75,7 +78,7 @@
         what = (
             f"no answer for {after_s:.1f} s" if answer is None else f"{answer[:40]!r} after {after_s:.3f} s"
         )
-        record("client", number, what)
+        record("client", number, "got for", request_id, what)
         in_time = answer is not None and answer[:1] in (b"$", b"*", b"-") and after_s <= DUE_S
         (answered if in_time else lost).append(number)
         raw_socket.close()
@@ -89,4 +92,4 @@
     return BROKEN if lost else HELD
 
 
-Case(__file__).run(body)
+Case(RECORD).run(body)
--- a/review/lib/rig.py
+++ b/review/lib/rig.py
@@ -36,9 +36,9 @@
 class Record:
     """What was sent, answered and run, with seconds since the start of the case."""
 
-    def __init__(self, folder: Path) -> None:
+    def __init__(self, path: Path) -> None:
         self.began = time.monotonic()
-        self.file = open(folder / "record.txt", "w", buffering=1)
+        self.file = open(path, "w", buffering=1)
 
     def __call__(self, *words: object) -> None:
         line = f"{time.monotonic() - self.began:8.3f} " + " ".join(map(str, words))
@@ -225,6 +225,7 @@
 
     async def usual_answer(self, command: list[bytes]) -> bytes:
         await asyncio.sleep(self.work_s)
+        self.record(self.name, "has run", command[0].decode(), command[2].decode())
         if command[0] == b"C.SET":
             return reply(b"receipt-of-" + command[2])
         return reply(b"value-of-" + command[1] + b"-for-" + command[2], b"hit")
@@ -385,12 +386,11 @@
 class Case:
     """Runs one case: a temporary folder, a time limit, and an end of all that it started."""
 
-    def __init__(self, script: str, limit_s: float = 100.0) -> None:
-        self.folder = Path(script).resolve().parent
+    def __init__(self, record_path: Path, limit_s: float = 100.0) -> None:
         self.limit_s = limit_s
         self.proxies: list[Proxy] = []
         self.temporary = Path(tempfile.mkdtemp(prefix="review-"))
-        self.record = Record(self.folder)
+        self.record = Record(record_path)
 
     def proxy(self, name: str, content: dict) -> Proxy:
         proxy = Proxy(name, self.temporary, content)
