A connection to a cache has one command at a time; others wait in the pool

Cause: Upstreams.on_timeout and _withdraw kept a shared connection open when a command was given up, on the belief that its late reply would come and be read past; UpstreamConnection.on_reply gives each reply to the first pending command. If no reply comes, all later ones shift, also before the first command's time is up.

Change: a connection has one command; a command that finds no free connection waits in ConnectionPool.waiting, in order, bounded by streamsPerConn for each connection and by its attempt's time, and ends as never sent when the cache drains, moves or cannot be reached. A command that is given up closes its connection, on which nothing else is out. Counter proxy.connection_waits.

Why it works: only the reply to the one command can come on its connection; no bound on 'very little time' is needed.

Four tests of test_proxy.py asserted the former belief (a late reply read past on a shared connection); they now ask that the connection closes, that each command is written once, and that the other command gets its own reply on a new one.

--- a/calicofall/proxy/connection_pool.py
+++ b/calicofall/proxy/connection_pool.py
@@ -1,7 +1,11 @@
 """The pool of connections to one endpoint: chooses the connection of each command, and opens connections.
 
+Replies carry no id, so a connection has one command at a time. Commands that find no free connection wait in
+the pool, in the order of their arrival, until their time is up.
+
 Invariants: a connection is opened only in its handshake slot, which the quota of handshakes assigns, and only
-within the quota of connections and the proxy's budget of connections.
+within the quota of connections and the proxy's budget of connections; commands wait only while there is a
+connection that they can be sent on later.
 """
 
 from math import inf
@@ -12,9 +16,10 @@
 
 if TYPE_CHECKING:
     from calicofall.proxy.upstream import Upstreams
+    from calicofall.proxy.upstream_command import UpstreamCommand
 
 MIN_IDLE_CONNECTIONS = 2  # idle or being opened, in addition to those in use
-SPARE_CONNECTIONS = 6  # above the usual maximum, to use in place of connections whose reply is overdue
+SPARE_CONNECTIONS = 6  # above an endpoint's share of the budget, if other endpoints do not use theirs
 IDLE_SETTLE_S = 0.02  # an idle connection is used last for this time: some endpoints close after a reply
 
 
@@ -26,20 +31,67 @@
         self.name = name
         self.address: tuple[str, int] | None = None
         self.connections: dict[UpstreamConnection, None] = {}  # in the order of their creation
+        # Commands that wait for a connection, and until when its handshake may begin (s, the loop's clock).
+        self.waiting: dict[UpstreamCommand, float] = {}
+        self.send_scheduled = False  # whether `_send_scheduled` runs in the next iteration of the loop
         self.accepts_requests = True  # whether the endpoint is neither draining nor gone
         # Rotates the order of the proxies' handshakes, so that a proxy's handshakes with different endpoints
         # are not all at the same time.
         self.order_offset = crc32(name.encode())
 
+    def send(self, command: "UpstreamCommand", max_wait_s: float) -> bool:
+        """Sends a command, or lets it wait for a free connection; returns False if it can do neither.
+
+        A connection whose handshake slot is more than `max_wait_s` away is not used.
+        """
+        self.waiting[command] = self.upstreams.loop.time() + max_wait_s
+        command.waiting_pool = self
+        self._send_waiting()
+        if command.waiting_pool is None:
+            return True
+        if self._may_wait(command):
+            self.upstreams.metrics.connection_waits += 1
+            return True
+        self.stop_waiting(command)
+        return False
+
+    def stop_waiting(self, command: "UpstreamCommand") -> None:
+        """Removes a command that waits for a connection."""
+        del self.waiting[command]
+        command.waiting_pool = None
+
+    def send_waiting_soon(self) -> None:
+        """Sends waiting commands in the next iteration of the event loop.
+
+        Not at once, since the connection that became free may have more input to process.
+        """
+        if self.waiting and not self.send_scheduled:
+            self.send_scheduled = True
+            self.upstreams.loop.call_soon(self._send_scheduled)
+
+    def on_connection_closed(self, connection: UpstreamConnection) -> None:
+        """Removes a connection; commands that wait for it are sent on another one, or have failed."""
+        self.connections.pop(connection, None)
+        if not self.accepts_requests or not (connection.is_open or self._has_open_connection()):
+            self.fail_waiting(connection.outcome_if_unsent())
+        else:
+            self.send_waiting_soon()
+
+    def fail_waiting(self, outcome: str) -> None:
+        """Ends all waiting commands, which have not been sent."""
+        for command in list(self.waiting):
+            if command.waiting_pool is not None:  # ended by the outcome of another one
+                self.stop_waiting(command)
+                self.upstreams.loop.call_soon(self.upstreams.finish, command, outcome)
+
     def acquire(self, max_wait_s: float) -> UpstreamConnection | None:
-        """Returns the connection for the next command: an idle one, one being opened, or the least busy.
+        """Returns a connection without a command: an open one, one that is being opened, or a new one.
 
         A connection whose handshake slot is more than `max_wait_s` away is not used.
         """
         now = self.upstreams.loop.time()
-        latest_open_at = now + max_wait_s
         settled_before = now - IDLE_SETTLE_S
-        available = [c for c in self.connections if not c.pending and c.opens_at <= latest_open_at]
+        available = [c for c in self.connections if c.command is None and c.opens_at <= now + max_wait_s]
         if len(available) > 1:
             available.sort(key=lambda c: (c.is_open, min(0.0, settled_before - c.idle_since), c.idle_since))
         while available:
@@ -47,7 +99,7 @@
             if not connection.is_open or connection.has_no_unread_input():
                 return connection
             connection.abort()
-        return self._acquire_busy(max_wait_s, latest_open_at)
+        return self.add_connection(max_wait_s) if self._may_grow() else None
 
     def add_connection(self, max_wait_s: float = 0.0) -> UpstreamConnection | None:
         """Adds a connection if the budgets allow one and its handshake slot is within `max_wait_s`."""
@@ -101,36 +153,56 @@
         if not self.upstreams.preconnect_enabled or not self.accepts_requests or self.address is None:
             return
         missing = min(
-            MIN_IDLE_CONNECTIONS - sum(not c.pending for c in self.connections),
+            MIN_IDLE_CONNECTIONS - sum(c.command is None for c in self.connections),
             self.upstreams.max_connections_per_endpoint - len(self.connections),
         )
         while missing > 0 and self.add_connection() is not None:
             missing -= 1
 
     def close_unused(self) -> None:
-        """Closes connections that are idle or not open yet; commands that wait for these are not sent."""
+        """Closes connections that are idle or not open yet; commands that wait for any are not sent."""
         for connection in list(self.connections):
-            if not connection.pending or not connection.is_open:
+            if connection.command is None or not connection.is_open:
                 connection.abort()
+        self.fail_waiting("unconnected")
 
     def close_idle(self, idle_before: float = inf) -> None:
         """Closes the connections that have been idle since before a time (s, the loop's clock)."""
         for connection in [c for c in self.connections if c.is_idle and c.idle_since < idle_before]:
             connection.abort()
 
-    def _acquire_busy(self, max_wait_s: float, latest_open_at: float) -> UpstreamConnection | None:
-        """Returns a new connection, or the one with the fewest pending commands; None if there is none."""
-        # Over open connections, an endpoint that has stopped responding would let each command run into its
-        # timeout. If a new connection is not established, its command is known not to have run.
-        responsive = [c for c in self.connections if not c.overdue]
-        if len(responsive) < self.upstreams.max_connections_per_endpoint:
-            connection = self.add_connection(max_wait_s)
-            if connection is not None:
-                return connection
-        max_pending = self.upstreams.max_pending_per_connection
-        usable = [
-            c
-            for c in responsive or self.connections
-            if c.opens_at <= latest_open_at and len(c.pending) < max_pending and c.address == self.address
-        ]
-        return min(usable, key=lambda c: len(c.pending), default=None)
+    def _may_grow(self) -> bool:
+        """Whether a further connection is within this endpoint's share, or in the unused part of the budget.
+
+        A connection whose client accepts no more of a long answer does not count.
+        """
+        in_use = sum(not c.reading_paused for c in self.connections)
+        share = self.upstreams.max_connections_per_endpoint
+        return in_use < share or (in_use < share + SPARE_CONNECTIONS and self.upstreams.has_unused_budget())
+
+    def _may_wait(self, command: "UpstreamCommand") -> bool:
+        """Whether a connection may become free for a command in time, and not too many commands wait."""
+        latest_open_at = self.waiting[command]
+        usable = sum(c.opens_at <= latest_open_at and c.address == self.address for c in self.connections)
+        return len(self.waiting) <= usable * self.upstreams.max_waiting_per_connection
+
+    def _has_open_connection(self) -> bool:
+        return any(connection.is_open for connection in self.connections)
+
+    def _send_scheduled(self) -> None:
+        self.send_scheduled = False
+        self._send_waiting()
+        if self.waiting and not self.connections:
+            self.fail_waiting("held")
+
+    def _send_waiting(self) -> None:
+        """Sends waiting commands, the first ones first, while there are connections for them."""
+        now = self.upstreams.loop.time()
+        while self.waiting:
+            command, latest_open_at = next(iter(self.waiting.items()))
+            connection = self.acquire(max(0.0, latest_open_at - now))
+            if connection is None:
+                return
+            self.stop_waiting(command)
+            connection.send(command)
+            self.preconnect()
--- a/calicofall/proxy/metrics.py
+++ b/calicofall/proxy/metrics.py
@@ -16,6 +16,7 @@
         self.answer_counts = {answer: dict.fromkeys(methods, 0) for answer in METRIC_NAMES}
         self.gauges = gauges
         self.attempts_sent = 0
+        self.connection_waits = 0  # attempts that found no free connection and waited for one
 
     def count_answer(self, answer: str, method: str) -> None:
         """Counts the final answer of one request."""
@@ -44,4 +45,8 @@
             for method, count in counts.items()
         ]
         gauge_lines = [f"proxy.{name}:{read()}|g" for name, read in self.gauges.items()]
-        return [*counter_lines, f"proxy.sends:{self.attempts_sent}|c", *gauge_lines]
+        attempt_lines = [
+            f"proxy.sends:{self.attempts_sent}|c",
+            f"proxy.connection_waits:{self.connection_waits}|c",
+        ]
+        return [*counter_lines, *attempt_lines, *gauge_lines]
--- a/calicofall/proxy/server.py
+++ b/calicofall/proxy/server.py
@@ -626,7 +626,6 @@
                 active_request.render,
                 now,
                 request.timeout_ms,
-                request.expires_at - now,
                 objective_left_ms,
             )
         elif request.answer == "exhausted":
--- a/calicofall/proxy/upstream.py
+++ b/calicofall/proxy/upstream.py
@@ -75,7 +75,7 @@
         self.metrics = metrics
         self.connection_quotas = connection_quotas
         self.common_clock_offset_s = common_clock_offset_s
-        self.max_pending_per_connection = max(1, int(caps.get("streams_per_conn") or 1))
+        self.max_waiting_per_connection = max(1, int(caps.get("streams_per_conn") or 1))
         self.connect_timeout_s = (caps.get("dial_timeout") or DEFAULT_CONNECT_TIMEOUT_MS) / 1000.0
         self.idle_timeout_s = (
             (caps.get("conn_idle") or DEFAULT_IDLE_TIMEOUT_MS) / 1000.0 * IDLE_TIMEOUT_FRACTION
@@ -106,6 +106,10 @@
         """Returns the number of connections to all endpoints, including those not opened yet."""
         return sum(len(pool.connections) for pool in self.pools.values())
 
+    def has_unused_budget(self) -> bool:
+        """Whether the budget of connections to all endpoints allows one more without closing another."""
+        return self.connection_count() < self.max_connections
+
     def has_capacity(self) -> bool:
         """Whether one more connection may be opened; closes the longest idle one for it if necessary."""
         self.close_idle_over(self.max_connections - 1)
@@ -169,7 +173,6 @@
         render: Callable[[float], list[bytes]],
         now_ms: float,
         timeout_ms: float,
-        request_left_ms: float,
         objective_left_ms: float,
     ) -> UpstreamCommand:
         """Sends an attempt's command to an endpoint.
@@ -184,15 +187,11 @@
             render: Returns the command's bytes in chunks; its argument is the time left for the answer (ms).
             now_ms: The current time (ms, the proxy's clock).
             timeout_ms: The attempt's timeout.
-            request_left_ms: Time until the request's deadline.
             objective_left_ms: Time until the request's latency objective.
         """
-        began = self.loop.time()
-        answer_due_at = began + max(0.0, timeout_ms) / 1000.0
-        command = UpstreamCommand(
-            active_request, attempt_index, render, now_ms, answer_due_at, began + request_left_ms / 1000.0
-        )
-        command.timer = self.loop.call_at(answer_due_at, self.on_timeout, command)
+        answer_due_at = self.loop.time() + max(0.0, timeout_ms) / 1000.0
+        command = UpstreamCommand(active_request, attempt_index, render, now_ms, answer_due_at)
+        command.timer = self.loop.call_at(answer_due_at, self.cancel_command, command, "timeout")
         pool = self.pools.get(name)
         if pool is None or not pool.accepts_requests or pool.address is None:
             self.loop.call_soon(self.finish, command, "unconnected")
@@ -203,29 +202,13 @@
                 return command
             command.in_flight_endpoint = name
         quotas = self.connection_quotas
-        connection = pool.acquire(quotas.max_wait_s(min(objective_left_ms, timeout_ms) / 1000.0))
-        if connection is None:
+        if not pool.send(command, quotas.max_wait_s(min(objective_left_ms, timeout_ms) / 1000.0)):
             has_quota = quotas.handshakes_per_s is not None or quotas.max_connections is not None
             self.loop.call_soon(self.finish, command, "held" if has_quota else "unconnected")
-            return command
-        connection.send(command)
-        pool.preconnect()
         return command
 
-    def on_timeout(self, command: UpstreamCommand) -> None:
-        """A command's answer is overdue: cancels it, or waits until the deadline if it can't be cancelled."""
-        connection = command.connection
-        left_s = command.request_due_at - self.loop.time()
-        # With other commands pending on the connection, this one can't be cancelled. It would still be in
-        # flight while the request's next attempt is sent to another endpoint.
-        if left_s > 0.0 and connection is not None and connection.shares_connection(command):
-            command.timer = self.loop.call_later(left_s, self.cancel_command, command, "timeout")
-            connection.overdue = True
-        else:
-            self.cancel_command(command, "timeout")
-
     def cancel_command(self, command: UpstreamCommand, outcome: str) -> None:
-        """Cancels a command by closing its connection, unless it was sent and shares the connection."""
+        """Cancels a command; one that was written in part or whole is cancelled by closing its connection."""
         if command.finished:
             return
         connection = command.connection
@@ -249,17 +232,17 @@
         cache_status: str | None = None,
         load_report: dict[str, float] | None = None,
     ) -> None:
-        """Reports a command's outcome once, and ends its count as in flight when its reply is not pending."""
+        """Reports a command's outcome, once, and ends its count as in flight."""
         connection = command.connection
         quota = self.in_flight_quota
-        # A command that is cancelled while others are pending behind it is in flight until its reply arrives.
-        has_ended = connection is None or connection.closed or command not in connection.pending
-        if command.in_flight_endpoint and has_ended and quota is not None:
-            quota.end(self.loop.time(), command.in_flight_endpoint)
-            command.in_flight_endpoint = None
         if command.finished:
             return
         command.finished = True
+        if command.in_flight_endpoint and quota is not None:
+            quota.end(self.loop.time(), command.in_flight_endpoint)
+            command.in_flight_endpoint = None
+        if command.waiting_pool is not None:
+            command.waiting_pool.stop_waiting(command)
         command.timer.cancel()
         if command.sink is not None and connection is not None and not connection.closed:
             self.loop.call_soon(connection.resume_streaming)  # the rest of the answer is read and discarded
@@ -307,16 +290,13 @@
 
     @staticmethod
     def _withdraw(command: UpstreamCommand, connection: UpstreamConnection, outcome: str) -> str:
-        """Prevents a cancelled command from being sent, if possible; returns the outcome to report."""
-        if not connection.is_open:
-            connection.pending.remove(command)
-            return "moot"  # never written; the connection may still open and carry the next command
-        if connection.shares_connection(command):
-            connection.overdue = connection.overdue or outcome == "timeout"
-            return outcome
+        """Ends a cancelled command on its connection; returns the outcome to report."""
+        if not connection.is_open or not command.end_offset:
+            connection.release(command)
+            return "moot"  # never written; the connection may carry the next command
         # No further byte of the command may be sent, and its queued bytes can only be discarded by closing
         # the connection. The command is removed first, so that the abort reports no outcome for it.
-        connection.pending.remove(command)
+        connection.command = None
         connection.abort()
         connection.pool.preconnect()
         return outcome
--- a/calicofall/proxy/upstream_command.py
+++ b/calicofall/proxy/upstream_command.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING, Any, Protocol
 
 if TYPE_CHECKING:
+    from calicofall.proxy.connection_pool import ConnectionPool
     from calicofall.proxy.upstream_connection import UpstreamConnection
 
 
@@ -28,7 +29,6 @@
             are written (ms).
         sent_at_ms: When the router decided on the attempt (ms, the proxy's clock).
         answer_due_at: When the attempt times out (s, the loop's clock).
-        request_due_at: The request's deadline (s, the loop's clock).
     """
 
     __slots__ = (
@@ -37,9 +37,9 @@
         "render",
         "sent_at_ms",
         "answer_due_at",
-        "request_due_at",
         "end_offset",
         "connection",
+        "waiting_pool",
         "timer",
         "finished",
         "sink",
@@ -54,16 +54,15 @@
         render: Callable[[float], list[bytes]],
         sent_at_ms: float,
         answer_due_at: float,
-        request_due_at: float,
     ) -> None:
         self.active_request = active_request
         self.attempt_index = attempt_index
         self.render = render
         self.sent_at_ms = sent_at_ms
         self.answer_due_at = answer_due_at
-        self.request_due_at = request_due_at
-        self.end_offset = 0  # offset of the command's end in all bytes queued on its connection
+        self.end_offset = 0  # offset of its end in all bytes queued on its connection; 0 before it is written
         self.connection: UpstreamConnection | None = None
+        self.waiting_pool: ConnectionPool | None = None  # in which it waits for a connection
         self.timer: asyncio.TimerHandle  # of the timeout; set by the sender right after the construction
         self.finished = False
         self.sink: AnswerSink | None = None  # of a long answer
--- a/calicofall/proxy/upstream_connection.py
+++ b/calicofall/proxy/upstream_connection.py
@@ -1,12 +1,14 @@
-"""One connection to an endpoint: writes commands and matches the replies to them in order.
+"""One connection to an endpoint: writes one command at a time and reads its reply.
 
-Invariants: a reply belongs to the first pending command; a late reply is discarded and matched to no other
-command; a command is reported as not run only if its last byte has not been sent, which means: not passed to
+Replies carry no id. If a second command were written behind one that the endpoint drops without a reply, the
+second one's reply would pass for that of the first.
+
+Invariants: a connection has one command at most, and closes if that is given up after a part of it was
+written; a command is reported as not run only if its last byte has not been sent, which means: not passed to
 the transport.
 """
 
 import asyncio
-from collections import deque
 from select import POLLIN, poll
 from typing import TYPE_CHECKING, Any
 
@@ -25,65 +27,60 @@
 
 
 class UpstreamConnection(BufferedConnection):
-    """A connection to an endpoint, with the pending commands in the order in which they were sent."""
+    """A connection to an endpoint, with the command that was sent on it last, until its reply is read."""
 
     def __init__(self, pool: "ConnectionPool", address: tuple[str, int]) -> None:
         super().__init__(pool.upstreams.loop)
         self.pool = pool
         self.address = address
         self.parser = ReplyParser(self.input)
-        self.pending: deque[UpstreamCommand] = deque()
-        # Whether the input was malformed. The outcome of pending commands that were sent is then "spoilt".
+        self.command: UpstreamCommand | None = None
+        # Whether the input was malformed. The outcome of a command that was sent is then "spoilt".
         self.malformed = False
         self.progress_at = 0.0  # when more of an incomplete reply was last received (s, the loop's clock)
         self.stall_timer: asyncio.TimerHandle | None = None
         self.poller: poll | None = None
         self.opens_at = 0.0  # its handshake slot, until the connection is opened (s, the loop's clock)
         self.is_open = False
-        # Whether a reply was overdue or reading was paused, and no reply was received since. The pool avoids
-        # such a connection while it has another.
-        self.overdue = False
         self.idle_since = 0.0  # (s, the loop's clock)
         self.reading_paused = False  # whether the client accepts no more of a long answer
-        # Where commands that are not counted as sent end, as offsets in all bytes queued on this connection.
-        self.unsent_offsets: deque[int] = deque()
+        self.is_unsent = False  # whether the command was written, but is not counted as sent yet
 
     @property
     def is_idle(self) -> bool:
-        """Whether it is open and no command is pending."""
-        return self.is_open and not self.pending
+        """Whether it is open and has no command."""
+        return self.is_open and self.command is None
 
     def on_open(self) -> None:
-        """Writes the commands that waited until the connection was open."""
+        """Writes the command that waited until the connection was open."""
         self.is_open = True
         raw_socket = self.transport.get_extra_info("socket")
         if raw_socket is not None:
             self.poller = poll()
             self.poller.register(raw_socket.fileno(), POLLIN)
-        for command in list(self.pending):
-            self._write_command(command)
-        if not self.pending:
+        if self.command is not None:
+            self._write_command(self.command)
+        else:
             self.become_idle()
 
     def send(self, command: "UpstreamCommand") -> None:
         """Sends a command, now or once the connection is open."""
+        check_invariant(self.command is None, "a connection has one command at a time")
         command.connection = self
-        self.pending.append(command)
+        self.command = command
         if self.is_open:
             self._write_command(command)
 
     def on_bytes_handed_over(self) -> None:
-        """Counts the commands that have left the transport; its buffer is empty unless writing is paused."""
-        while (
-            self.unsent_offsets and self.unsent_offsets[0] <= self.handed_over_bytes and not self.write_paused
-        ):
-            self.unsent_offsets.popleft()
+        """Counts a command that has left the transport; its buffer is empty unless writing is paused."""
+        if self.is_unsent and self.handed_over_bytes == self.queued_bytes and not self.write_paused:
+            self.is_unsent = False
             self.pool.upstreams.metrics.attempts_sent += 1
 
     def on_data(self) -> None:
-        """Processes the replies received; input that belongs to no pending command aborts the connection."""
+        """Processes the reply received; input that belongs to no command aborts the connection."""
         while not self.closed:
-            if not self.pending:
+            if self.command is None:
                 if len(self.input):
                     self.abort()
                 return
@@ -94,22 +91,21 @@
                 return
             if value is resp.STREAM_STARTED:
                 size = self.parser.stream_bytes_left + resp.WITHHELD_TAIL_BYTES
-                self.pool.upstreams.start_streaming(self.pending[0], self, size)
+                self.pool.upstreams.start_streaming(self.command, self, size)
                 # If this reply is the next one that the client gets, `start_streaming` has called
                 # `resume_streaming`, which may have forwarded all that was received: the loop checks the
                 # parser's state again.
             elif value is not resp.INCOMPLETE:
-                self.on_reply(value)
-            elif not (self.parser.stream_bytes_left and self.stream_value()):
+                self.on_reply(self.command, value)
+            elif not (self.parser.stream_bytes_left and self.stream_value(self.command)):
                 self._start_stall_timer()
                 return
 
-    def stream_value(self) -> bool:
+    def stream_value(self, command: "UpstreamCommand") -> bool:
         """Forwards the received part of a long value; returns True when only its withheld end is left.
 
         The last resp.WITHHELD_TAIL_BYTES of the value are forwarded once the rest of the reply is valid.
         """
-        command = self.pending[0]
         sink = None if command.finished else command.sink
         self.set_reading_paused(sink is not None and not sink.can_accept_chunk())
         if not self.reading_paused:
@@ -128,7 +124,6 @@
         self.reading_paused = paused
         if paused:
             self.transport.pause_reading()
-            self.overdue = True  # so that no command is sent on this connection meanwhile
         else:
             self.transport.resume_reading()
 
@@ -139,13 +134,10 @@
             self.progress_at = self.loop.time()
             self.on_data()
 
-    def on_reply(self, value: Any) -> None:
-        """A reply is complete; `value` is the result of `ReplyParser.read`."""
-        command = self.pending.popleft()
-        check_invariant(command.connection is self, "a reply belongs to its connection's first command")
-        self.overdue = False
-        if not self.pending:
-            self.become_idle()
+    def on_reply(self, command: "UpstreamCommand", value: Any) -> None:
+        """The reply to the command is complete; `value` is the result of `ReplyParser.read`."""
+        self.command = None
+        self.become_idle()
         # If the command was cancelled, this reports nothing: its reply is discarded.
         self.pool.upstreams.finish(command, *parse_reply(value))
 
@@ -159,7 +151,7 @@
             return
         # A client may have received a part of a long answer, which no other endpoint can complete: such an
         # answer gets more time.
-        is_streamed = self.pending and self.pending[0].sink is not None
+        is_streamed = self.command is not None and self.command.sink is not None
         timeout_s = STREAM_STALL_TIMEOUT_S if is_streamed else STALL_TIMEOUT_S
         left_s = self.progress_at + timeout_s - self.loop.time()
         if left_s > 0.0:
@@ -186,6 +178,7 @@
         """Keeps the connection for the next command, unless its endpoint accepts none or has moved."""
         if self.pool.accepts_requests and self.address == self.pool.address:
             self.idle_since = self.loop.time()
+            self.pool.send_waiting_soon()
         else:
             self.abort()
 
@@ -193,34 +186,35 @@
         """Whether a command's last byte has not been sent, so that it cannot have run."""
         return not self.is_open or command.end_offset > self.handed_over_bytes
 
-    def shares_connection(self, command: "UpstreamCommand") -> bool:
-        """Whether a command was sent and others are pending here.
+    def outcome_if_unsent(self) -> str:
+        """Returns the outcome of a command that was not sent because this connection closed.
 
-        Such a command is not cancelled: closing the connection would cancel the others, too.
+        A lack of local resources is not reported as the endpoint's failure, which could eject the endpoint.
         """
-        return not (
-            self.closed
-            or self.never_ran(command)
-            or all(other.finished or other is command for other in self.pending)
-        )
+        return "held" if self.lacked_local_resources else "unconnected"
 
     def on_close(self) -> None:
-        """The connection is closed: the pending commands have failed."""
-        self.pool.connections.pop(self, None)
-        commands = self.pending
-        self.pending = deque()
+        """The connection is closed: its command has failed."""
+        command, self.command = self.command, None
         if self.stall_timer is not None:
             self.stall_timer.cancel()
+        self.pool.on_connection_closed(self)
+        if command is None:
+            return
         value = self.parser.reply_without_load_report()
-        if value is not None and commands:  # the answer is complete, only the load report is missing
-            self.pool.upstreams.finish(commands.popleft(), *parse_reply(value))
-        outcome_if_sent = "spoilt" if self.malformed else "reset"
-        # A lack of local resources is not reported as the endpoint's failure, which could eject the endpoint.
-        outcome_if_unsent = "held" if self.lacked_local_resources else "unconnected"
-        for command in commands:
-            self.pool.upstreams.finish(
-                command, outcome_if_unsent if self.never_ran(command) else outcome_if_sent
-            )
+        if value is not None:  # the answer is complete, only the load report is missing
+            self.pool.upstreams.finish(command, *parse_reply(value))
+        elif self.never_ran(command):
+            self.pool.upstreams.finish(command, self.outcome_if_unsent())
+        else:
+            self.pool.upstreams.finish(command, "spoilt" if self.malformed else "reset")
+
+    def release(self, command: "UpstreamCommand") -> None:
+        """Takes back a command of which nothing has been written; another one may be sent in its place."""
+        check_invariant(self.command is command, "a command is released by its own connection")
+        self.command = None
+        if self.is_open:
+            self.become_idle()
 
     def _write_command(self, command: "UpstreamCommand") -> None:
         # While the command waited for its connection, its attempt may have timed out, its client may have
@@ -228,22 +222,17 @@
         # of the request is safe.
         left_s = command.answer_due_at - self.loop.time()
         if left_s <= 0.0 or not self.pool.upstreams.may_send(command):
-            self._withdraw(command)
+            if self.command is command:  # not cancelled meanwhile, as its client has disconnected
+                command.connection = None  # it may still time out, or be cancelled, before its outcome
+                self.release(command)
+                self.loop.call_soon(self.pool.upstreams.finish, command, "held")
             return
         chunks = command.render(left_s * 1000.0)
         command.end_offset = self.queued_bytes + sum(map(len, chunks))
-        self.unsent_offsets.append(command.end_offset)
+        self.is_unsent = True
         for chunk in chunks:
             self.write(chunk)
 
-    def _withdraw(self, command: "UpstreamCommand") -> None:
-        """Removes a command of which nothing has been written."""
-        self.pending.remove(command)
-        command.connection = None  # it can time out, or its client disconnect, before the outcome is reported
-        self.loop.call_soon(self.pool.upstreams.finish, command, "held")
-        if not self.pending and self.is_open:
-            self.become_idle()
-
     def _start_stall_timer(self) -> None:
         """Records progress, and starts the check that an incomplete reply does not stall."""
         self.progress_at = self.loop.time()
--- a/tests/rogues.py
+++ b/tests/rogues.py
@@ -76,7 +76,6 @@
                 command.render,
                 command.sent_at_ms,
                 command.answer_due_at,
-                command.request_due_at,
             )
             copy.timer, copy.finished = self.loop.call_later(9.0, lambda: None), True
             if (connection := other_pool.acquire(9.0)) is not None:
--- a/tests/test_large.py
+++ b/tests/test_large.py
@@ -74,7 +74,7 @@
             )
         )
         client.feed(encode_request(key=number % 3))
-        connection = next(connection for connection, _ in harness.loop.connect_requests if connection.pending)
+        connection = next(connection for connection, _ in harness.loop.connect_requests if connection.command)
         transport, data = connection.transport or FakeTransport(connection), encode_reply(value)
         while data:
             size = random_generator.choice([1, 2, 9, 1000, 1 << 16])
@@ -317,7 +317,7 @@
             paused_count += client.paused
         max_partial_bytes = max(max_partial_bytes, harness.proxy.clients.partial_command_bytes)
         for connection in [
-            connection for connection, _ in harness.loop.connect_requests if connection.pending
+            connection for connection, _ in harness.loop.connect_requests if connection.command
         ]:
             (connection.transport or FakeTransport(connection)).feed(encode_reply(b"stored"))
         harness.loop.advance(0.01)
--- a/tests/test_operation.py
+++ b/tests/test_operation.py
@@ -107,7 +107,13 @@
         f"proxy.{name}.{method}": 0
         for name in ("answered", "deferred", "errored")
         for method in ("read", "save", "order")
-    } | {"proxy.sends": 0, "proxy.current": 0, "proxy.cluster_size": 3, "proxy.cluster_unhealthy": 0}
+    } | {
+        "proxy.sends": 0,
+        "proxy.connection_waits": 0,
+        "proxy.current": 0,
+        "proxy.cluster_size": 3,
+        "proxy.cluster_unhealthy": 0,
+    }
     harness.push_endpoint_list(endpoint("c1", "DRAINING"), endpoint("c2", "DELETED"), endpoint("c9"))
     assert read_counters(harness)["proxy.cluster_size"] == 3
     assert b"|c\n" in call(harness, b"counters\n") and b"proxy.current:0|g\n" in call(harness, b"counters\n")
@@ -157,7 +163,7 @@
         for upstream in [
             upstream
             for upstream in upstreams[-40:]
-            if upstream is not None and upstream.open and upstream.stream.pending
+            if upstream is not None and upstream.open and upstream.stream.command
         ]:
             if upstream.pause_after_bytes is not None and len(upstream.sent) > upstream.pause_after_bytes:
                 if random_generator.random() < 0.3:
@@ -225,7 +231,7 @@
     assert call(harness, b"health\n") == b"+OK serving\n"
     harness.loop.connect_requests[-1][0].transport or harness.connect_upstream()
     for stream, _ in harness.loop.connect_requests:
-        if stream.pending:
+        if stream.command:
             stream.transport.feed(encode_reply(b"kept"))
     assert late.take() == b"$4\r\nkept\r\n" and late.open  # no connection is closed after its answer
     late.feed(PING)
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -116,31 +116,40 @@
     assert client.sent.startswith(answer)
 
 
-def test_command_still_in_the_output_queue_has_not_run() -> None:
+@pytest.mark.parametrize(("value_bytes", "answer"), [(50_000, b"-ERR errored"), (200_000, b"-BUSY ")])
+def test_command_still_in_the_output_queue_has_not_run(value_bytes: int, answer: bytes) -> None:
     """Only bytes that are still queued behind a full socket prove that a command has not run."""
     harness = ProxyHarness(caches=1)
-    harness.proxy.upstreams.max_connections_per_endpoint = 1  # the second command is written after the first
+    harness.proxy.upstreams.set_max_connections(1)  # the second command waits for the first
     client, other = harness.client(), harness.client()
-    client.feed(encode_request("order", key=1, value=bytes(50_000)))
+    client.feed(encode_request("order", key=1, value=bytes(value_bytes)))
     upstream = harness.connect_upstream(pause_after_bytes=100)
     other.feed(encode_request("order", key=2))
     assert len(harness.loop.connect_requests) == 1
+    sent = upstream.take()
     upstream.abort()
     harness.loop.advance()
-    assert client.sent.startswith(b"-ERR errored") and other.sent.startswith(b"-BUSY ")
+    assert client.sent.startswith(answer)
+    assert sent.count(b"C.SET") == 1
+    harness.connect_upstream().feed(encode_reply(b"second"))
+    assert other.sent == b"$6\r\nsecond\r\n"
 
 
 def test_late_reply_is_discarded() -> None:
     harness = ProxyHarness(caches=1)
-    harness.proxy.upstreams.max_connections_per_endpoint = 1
+    harness.proxy.upstreams.set_max_connections(1)
     client, other = harness.client(), harness.client()
     client.feed(encode_request(remaining_ms="100"))
     upstream = harness.connect_upstream()
     other.feed(encode_request(remaining_ms="900"))
     harness.loop.advance(0.2)
-    assert client.take().startswith(b"-BUSY") and upstream.open  # shared with another command
-    upstream.feed(encode_reply(b"late") + encode_reply(b"fresh"))
-    assert other.sent == b"$5\r\nfresh\r\n" and not client.sent
+    # Replies carry no id: with the connection closed, the late one cannot pass for that of the next command.
+    assert client.take().startswith(b"-BUSY")
+    assert not upstream.open
+    assert upstream.take().count(b"C.GET") == 1
+    harness.connect_upstream().feed(encode_reply(b"fresh"))
+    assert other.sent == b"$5\r\nfresh\r\n"
+    assert not client.sent
 
 
 def test_connection_with_an_overdue_answer_gets_no_new_command() -> None:
@@ -149,38 +158,48 @@
     If a command gets a new connection instead, and that fails, the command is certain not to have run.
     """
     harness = ProxyHarness(caches=1).with_high_limits()
-    harness.proxy.upstreams.max_connections_per_endpoint = 2
-    clients = [harness.client() for _ in range(5)]
-    for client, remaining_ms in zip(clients[:4], ("100", "100", "900", "900"), strict=True):
-        client.feed(encode_request(remaining_ms=remaining_ms))
+    harness.proxy.upstreams.set_max_connections(2)
+    clients = [harness.client() for _ in range(4)]
+    for client, remaining_ms in zip(clients, ("100", "100", "900", "900"), strict=True):
+        client.feed(encode_request("order", remaining_ms=remaining_ms))
     first, second = harness.connect_upstream(0), harness.connect_upstream(1)
-    assert len(harness.loop.connect_requests) == 2  # two have one command each, the others share
-    harness.loop.advance(0.2)
-    assert first.open and second.open
-    harness.proxy.router.policy.endpoints.caches["c1"].reinstate()
-    clients[4].feed(encode_request(remaining_ms="300"))
-    assert len(harness.loop.connect_requests) == 3
-    first.feed(encode_reply(b"late") + encode_reply(b"fresh"))  # the cache responds again
-    assert clients[2].sent == b"$5\r\nfresh\r\n" and first.open
-    clients[0].feed(encode_request())
-    assert len(harness.loop.connect_requests) == 3
+    assert len(harness.loop.connect_requests) == 2  # one command on each; the others wait
+    harness.loop.advance(0.09)
+    assert first.open
+    assert second.open
+    harness.loop.advance(0.11)
+    assert not first.open
+    assert not second.open
+    assert first.sent.count(b"C.SET") == second.sent.count(b"C.SET") == 1
+    harness.connect_upstream(2).feed(encode_reply(b"fresh"))  # the cache responds again
+    assert clients[2].sent == b"$5\r\nfresh\r\n"
+    harness.loop.connect_requests[3][0].abort()  # not established
+    harness.loop.advance()
+    assert not clients[3].sent.startswith(b"-ERR")
 
 
 def test_cancelled_command_is_sent_to_another_cache_and_is_in_flight_only_once() -> None:
-    """On a shared connection, a command stayed in flight while it was sent to another cache as well."""
-    for shared in (False, True):
+    """With another command waiting, one stayed in flight while it was sent to another cache as well."""
+    for is_awaited in (False, True):
         harness = ProxyHarness(caches=2).with_high_limits()
-        harness.proxy.upstreams.max_connections_per_endpoint, policy = 1, harness.proxy.router.policy
+        harness.proxy.upstreams.set_max_connections(1)
+        policy = harness.proxy.router.policy
         policy.timeouts.attempt_timeout_ms = lambda left, *_: 100.0
         client, other = harness.client(), harness.client()
         client.feed(encode_request(remaining_ms="400"))
         upstream = harness.connect_upstream()
-        if shared:
+        if is_awaited:
             other.feed(encode_request())
             assert len(harness.loop.connect_requests) == 1
         harness.loop.advance(0.11)
-        assert upstream.open is shared and len(harness.loop.connect_requests) == (1 if shared else 2)
-        (upstream if shared else harness.connect_upstream()).feed(encode_reply(b"one"))
+        assert not upstream.open
+        assert upstream.sent.count(b"C.GET") == 1
+        assert len(harness.loop.connect_requests) == 2
+        upstreams = [
+            harness.connect_upstream(number) for number in range(1, len(harness.loop.connect_requests))
+        ]
+        for upstream in upstreams:
+            upstream.feed(encode_reply(b"one"))
         assert client.sent == b"$3\r\none\r\n"
 
 
@@ -589,13 +608,14 @@
 def test_nothing_is_sent_for_a_request_after_its_deadline() -> None:
     """Bytes queued behind a full socket would have been sent after their request's final answer."""
     harness = ProxyHarness(caches=1)
-    harness.proxy.upstreams.max_connections_per_endpoint = 1
+    harness.proxy.upstreams.set_max_connections(1)
     client, other = harness.client(), harness.client()
-    client.feed(encode_request("save", value=bytes(50_000)))
+    client.feed(encode_request("save", value=bytes(200_000), remaining_ms="100"))
     upstream = harness.connect_upstream(pause_after_bytes=100)
     other.feed(encode_request(remaining_ms="100"))
     harness.loop.advance(0.2)
-    assert other.sent.startswith(b"-BUSY") and not upstream.open
+    assert client.sent.startswith(b"-BUSY") and other.sent.startswith(b"-BUSY") and not upstream.open
+    assert not upstream.sent.count(b"C.GET")
 
 
 def test_exception_in_a_decision_gives_an_errored_request() -> None:
@@ -656,7 +676,7 @@
         for index in range(len(harness.loop.connect_requests)):
             connection = harness.loop.connect_requests[index][0]
             upstream = connection.transport or harness.connect_upstream(index)
-            upstream.feed(encode_reply(b"%d" % number) * len(connection.pending))
+            upstream.feed(encode_reply(b"%d" % number) * (connection.command is not None))
         harness.loop.advance()
     assert client.sent.count(b"$") == 18 and client.eof_written
 
@@ -765,7 +785,7 @@
         for upstream in [
             upstream
             for upstream in upstreams[-40:]
-            if upstream is not None and upstream.open and upstream.stream.pending
+            if upstream is not None and upstream.open and upstream.stream.command
         ]:
             draw = random_generator.random()
             if draw < 0.3:
--- a/tests/test_versions.py
+++ b/tests/test_versions.py
@@ -187,7 +187,7 @@
         for connection, _ in harness.loop.connect_requests:
             if not connection.closed:
                 transport = connection.transport or FakeTransport(connection)
-                if connection.pending:
+                if connection.command:
                     transport.feed(encode_reply(b"fresh"))
         assert client.take() == b"$5\r\nfresh\r\n"
         harness.advance(1.0)
