A second copy of a reply is not taken for the reply to the next command

Cause: ConnectionPool.acquire used connections that had become idle a moment ago, and a look at the socket before the write cannot see a copy on its way; on_reply gave it to the next command.

Change: after a reply a connection rests for 80 ms, unless replies have differed from the one before on their connection twelve times in a row (ReplyDistinctness); then it may be used at once, and an equal reply is discarded as the copy, the command waiting for its own. After an error or a long value it always rests. Input before a command's last byte has left closes the connection. Counter proxy.second_copies.

Why it works: in the time in which a copy can come, what comes is either not written for, or told from a copy by its content.

Tests of test_proxy and test_large that used a connection again in the same instant let the 80 ms pass; no assertion changed but the list of counters.

--- a/calicofall/proxy/connection_pool.py
+++ b/calicofall/proxy/connection_pool.py
@@ -8,6 +8,7 @@
 connection that they can be sent on later.
 """
 
+import asyncio
 from math import inf
 from typing import TYPE_CHECKING
 from zlib import crc32
@@ -20,7 +21,6 @@
 
 MIN_IDLE_CONNECTIONS = 2  # idle or being opened, in addition to those in use
 SPARE_CONNECTIONS = 6  # above an endpoint's share of the budget, if other endpoints do not use theirs
-IDLE_SETTLE_S = 0.02  # an idle connection is used last for this time: some endpoints close after a reply
 
 
 class ConnectionPool:
@@ -33,6 +33,9 @@
         self.connections: dict[UpstreamConnection, None] = {}  # in the order of their creation
         # Commands that wait for a connection, and until when its handshake may begin (s, the loop's clock).
         self.waiting: dict[UpstreamCommand, float] = {}
+        self.settle_timer: asyncio.TimerHandle | None = (
+            None  # set while commands wait for a settled connection
+        )
         self.send_scheduled = False  # whether `_send_scheduled` runs in the next iteration of the loop
         self.accepts_requests = True  # whether the endpoint is neither draining nor gone
         # Rotates the order of the proxies' handshakes, so that a proxy's handshakes with different endpoints
@@ -63,7 +66,7 @@
     def send_waiting_soon(self) -> None:
         """Sends waiting commands in the next iteration of the event loop.
 
-        Not at once, since the connection that became free may have more input to process.
+        Not at once, since more input of the connection that became free may have to be processed.
         """
         if self.waiting and not self.send_scheduled:
             self.send_scheduled = True
@@ -87,13 +90,17 @@
     def acquire(self, max_wait_s: float) -> UpstreamConnection | None:
         """Returns a connection without a command: an open one, one that is being opened, or a new one.
 
-        A connection whose handshake slot is more than `max_wait_s` away is not used.
+        Of the open ones, those that have settled after their last reply come first. A connection whose
+        handshake slot is more than `max_wait_s` away is not used.
         """
         now = self.upstreams.loop.time()
-        settled_before = now - IDLE_SETTLE_S
-        available = [c for c in self.connections if c.command is None and c.opens_at <= now + max_wait_s]
+        available = [
+            c
+            for c in self.connections
+            if c.command is None and c.opens_at <= now + max_wait_s and c.may_be_used(now)
+        ]
         if len(available) > 1:
-            available.sort(key=lambda c: (c.is_open, min(0.0, settled_before - c.idle_since), c.idle_since))
+            available.sort(key=lambda c: (c.is_open, min(0.0, now - c.settled_at), c.idle_since))
         while available:
             connection = available.pop()
             if not connection.is_open or connection.has_no_unread_input():
@@ -202,7 +209,18 @@
             command, latest_open_at = next(iter(self.waiting.items()))
             connection = self.acquire(max(0.0, latest_open_at - now))
             if connection is None:
+                self._send_when_settled(now)
                 return
             self.stop_waiting(command)
             connection.send(command)
             self.preconnect()
+
+    def _send_when_settled(self, now: float) -> None:
+        """Schedules sending the waiting commands for when the next idle connection has settled."""
+        settled_at = [c.settled_at for c in self.connections if c.is_idle and c.settled_at > now]
+        if settled_at and self.settle_timer is None:
+            self.settle_timer = self.upstreams.loop.call_at(min(settled_at), self._on_settled)
+
+    def _on_settled(self) -> None:
+        self.settle_timer = None
+        self._send_scheduled()
--- a/calicofall/proxy/metrics.py
+++ b/calicofall/proxy/metrics.py
@@ -16,6 +16,7 @@
         self.answer_counts = {answer: dict.fromkeys(methods, 0) for answer in METRIC_NAMES}
         self.gauges = gauges
         self.attempts_sent = 0
+        self.second_copies = 0  # second copies of replies that crossed the next command on its connection
         self.connection_waits = 0  # attempts that found no free connection and waited for one
 
     def count_answer(self, answer: str, method: str) -> None:
@@ -48,5 +49,6 @@
         attempt_lines = [
             f"proxy.sends:{self.attempts_sent}|c",
             f"proxy.connection_waits:{self.connection_waits}|c",
+            f"proxy.second_copies:{self.second_copies}|c",
         ]
         return [*counter_lines, *attempt_lines, *gauge_lines]
--- a/calicofall/proxy/upstream.py
+++ b/calicofall/proxy/upstream.py
@@ -16,6 +16,7 @@
 from calicofall.proxy.connection import BufferedConnection
 from calicofall.proxy.connection_pool import ConnectionPool
 from calicofall.proxy.metrics import Metrics
+from calicofall.proxy.reply_distinctness import ReplyDistinctness
 from calicofall.proxy.upstream_command import AnswerSink, UpstreamCommand
 from calicofall.proxy.upstream_connection import UpstreamConnection
 from calicofall.startup.connection_quotas import ConnectionQuotas
@@ -85,6 +86,7 @@
         # Whether the budget of descriptors shared with clients allows one more connection.
         self.shared_budget_has_capacity: Callable[[], bool] = lambda: True
         self.in_flight_quota: InFlightQuota | None = None  # None if the settings set no limit
+        self.reply_distinctness = ReplyDistinctness()
         self.pools: dict[str, ConnectionPool] = {}
         self.max_connections_per_endpoint = self.max_connections
         self.entries: dict[str, tuple[Any, ...]] = {}  # of the list, as received
--- a/calicofall/proxy/upstream_connection.py
+++ b/calicofall/proxy/upstream_connection.py
@@ -1,11 +1,14 @@
 """One connection to an endpoint: writes one command at a time and reads its reply.
 
 Replies carry no id. If a second command were written behind one that the endpoint drops without a reply, the
-second one's reply would pass for that of the first.
+second one's reply would pass for that of the first. Some endpoints send a reply twice, the second time some
+milliseconds later; it would pass for the reply to a command written in between.
 
 Invariants: a connection has one command at most, and closes if that is given up after a part of it was
-written; a command is reported as not run only if its last byte has not been sent, which means: not passed to
-the transport.
+written; while a second copy of the last reply may arrive, a command is written only if replies tell requests
+apart, and a reply that equals the last one is discarded; input that arrives before a command's last byte was
+sent is not its reply; a command is reported as not run only if its last byte has not been sent, which means:
+not passed to the transport.
 """
 
 import asyncio
@@ -23,6 +26,9 @@
     from calicofall.proxy.upstream_command import UpstreamCommand
 
 STALL_TIMEOUT_S = 0.06  # maximum pause within a reply
+# Time after a reply in which a second copy of it may arrive: some milliseconds, the 40 ms for which the
+# endpoint's kernel may hold a small write back until the previous one is acknowledged, and a reserve.
+REPLY_SETTLE_S = 0.08
 STREAM_STALL_TIMEOUT_S = 2.5  # maximum pause within a long reply, while its client accepts output
 
 
@@ -43,8 +49,16 @@
         self.opens_at = 0.0  # its handshake slot, until the connection is opened (s, the loop's clock)
         self.is_open = False
         self.idle_since = 0.0  # (s, the loop's clock)
+        self.settled_at = 0.0  # until when a second copy of the last reply may arrive (s, the loop's clock)
+        self.last_fingerprint: int | None = (
+            None  # of the last reply; None if that was an error or a long value
+        )
+        self.copy_discarded = (
+            False  # whether a second copy was discarded while the command waited for its reply
+        )
         self.reading_paused = False  # whether the client accepts no more of a long answer
-        self.is_unsent = False  # whether the command was written, but is not counted as sent yet
+        # Where the command ends in all bytes queued here, until it has left the transport; then 0.
+        self.unsent_end_offset = 0
 
     @property
     def is_idle(self) -> bool:
@@ -73,8 +87,8 @@
 
     def on_bytes_handed_over(self) -> None:
         """Counts a command that has left the transport; its buffer is empty unless writing is paused."""
-        if self.is_unsent and self.handed_over_bytes == self.queued_bytes and not self.write_paused:
-            self.is_unsent = False
+        if 0 < self.unsent_end_offset <= self.handed_over_bytes and not self.write_paused:
+            self.unsent_end_offset = 0
             self.pool.upstreams.metrics.attempts_sent += 1
 
     def on_data(self) -> None:
@@ -84,6 +98,9 @@
                 if len(self.input):
                     self.abort()
                 return
+            if self.unsent_end_offset:  # the command's last byte has not left: this is not its reply
+                self.abort()
+                return
             try:
                 value = self.parser.read()
             except resp.ProtocolError as error:
@@ -135,12 +152,38 @@
             self.on_data()
 
     def on_reply(self, command: "UpstreamCommand", value: Any) -> None:
-        """The reply to the command is complete; `value` is the result of `ReplyParser.read`."""
+        """A reply is complete; `value` is the result of `ReplyParser.read`."""
+        if self.is_second_copy(value):
+            self.copy_discarded = True
+            self.pool.upstreams.metrics.second_copies += 1
+            return
+        self._remember_reply(value, was_streamed=command.sink is not None)
         self.command = None
         self.become_idle()
         # If the command was cancelled, this reports nothing: its reply is discarded.
         self.pool.upstreams.finish(command, *parse_reply(value))
 
+    def may_be_used(self, now: float) -> bool:
+        """Whether the reply to a next command can be told from a second copy of the last reply."""
+        if self.settled_at <= now:
+            return True
+        return self.last_fingerprint is not None and self.pool.upstreams.reply_distinctness.is_reliable
+
+    def is_second_copy(self, value: Any) -> bool:
+        """Whether a reply is, or may be, a second copy of the last one."""
+        may_arrive = self.loop.time() < self.settled_at
+        return (
+            may_arrive and self.last_fingerprint is not None and fingerprint(value) == self.last_fingerprint
+        )
+
+    def _remember_reply(self, value: Any, was_streamed: bool) -> None:
+        last_fingerprint = self.last_fingerprint
+        self.last_fingerprint = None if was_streamed else fingerprint(value)
+        if last_fingerprint is not None and self.last_fingerprint is not None:
+            self.pool.upstreams.reply_distinctness.add(self.last_fingerprint != last_fingerprint)
+        self.settled_at = self.loop.time() + REPLY_SETTLE_S
+        self.copy_discarded = False
+
     def check_stall(self) -> None:
         """Aborts a connection on which an incomplete reply has stalled; else schedules another check.
 
@@ -199,10 +242,13 @@
         if self.stall_timer is not None:
             self.stall_timer.cancel()
         self.pool.on_connection_closed(self)
+        if self.copy_discarded:  # it may have been the command's own reply, as no other one came
+            self.pool.upstreams.reply_distinctness.add(False)
         if command is None:
             return
         value = self.parser.reply_without_load_report()
-        if value is not None:  # the answer is complete, only the load report is missing
+        # The answer is complete, only the load report is missing.
+        if value is not None and not self.is_second_copy(value):
             self.pool.upstreams.finish(command, *parse_reply(value))
         elif self.never_ran(command):
             self.pool.upstreams.finish(command, self.outcome_if_unsent())
@@ -229,7 +275,7 @@
             return
         chunks = command.render(left_s * 1000.0)
         command.end_offset = self.queued_bytes + sum(map(len, chunks))
-        self.is_unsent = True
+        self.unsent_end_offset = command.end_offset
         for chunk in chunks:
             self.write(chunk)
 
@@ -240,6 +286,14 @@
             self.stall_timer = self.loop.call_later(STALL_TIMEOUT_S, self.check_stall)
 
 
+def fingerprint(value: Any) -> int | None:
+    """Returns a number by which a reply is compared with the next one; None for an error.
+
+    Errors of different requests are often equal.
+    """
+    return None if isinstance(value, resp.ErrorReply) else hash(tuple(value))
+
+
 def parse_reply(value: Any) -> tuple[str, bytes, str | None, dict[str, float] | None]:
     """Returns the outcome, answer, cache status and load report of an endpoint's reply."""
     if isinstance(value, resp.ErrorReply):
--- a/tests/test_large.py
+++ b/tests/test_large.py
@@ -7,6 +7,7 @@
 
 from calicofall.proxy import client_connection, clients, resp, upstream_connection
 from calicofall.proxy.resp import MAX_VALUE_BYTES, STREAMING_THRESHOLD_BYTES, WITHHELD_TAIL_BYTES
+from calicofall.proxy.upstream_connection import REPLY_SETTLE_S
 
 PING = resp.encode_command([b"PING"])
 
@@ -51,6 +52,7 @@
     upstream.feed(data[-10:])
     assert client.sent == resp.encode_bulk(value) and harness.proxy.metrics.totals()["completed"] == 1
     assert not harness.proxy.active_requests and not harness.proxy.router.active_requests and upstream.open
+    harness.loop.clock += REPLY_SETTLE_S
     client.feed(encode_request())
     upstream.feed(encode_reply(b"next"))
     assert client.sent.endswith(b"$4\r\nnext\r\n")
--- a/tests/test_operation.py
+++ b/tests/test_operation.py
@@ -110,6 +110,7 @@
     } | {
         "proxy.sends": 0,
         "proxy.connection_waits": 0,
+        "proxy.second_copies": 0,
         "proxy.current": 0,
         "proxy.cluster_size": 3,
         "proxy.cluster_unhealthy": 0,
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -24,6 +24,7 @@
 from calicofall.proxy.clients import IDLE_BUDGET_DIVISOR
 from calicofall.proxy.connection import ACCEPTS_PER_ITERATION, MAX_DISCARDED_BYTES, Listener
 from calicofall.proxy.connection_pool import MIN_IDLE_CONNECTIONS
+from calicofall.proxy.upstream_connection import REPLY_SETTLE_S
 from calicofall.routing.request import Request
 from calicofall.routing.router import Router
 from calicofall.simulator_adapter import host
@@ -38,6 +39,7 @@
     assert b"d=900" in upstream.sent and upstream.take().startswith(b"*4\r\n$5\r\nC.GET\r\n")
     upstream.feed(encode_reply(b"fresh"))
     assert client.take() == b"$5\r\nfresh\r\n"
+    harness.loop.clock += REPLY_SETTLE_S
     client.feed(encode_request())
     assert upstream.sent and len(harness.loop.connect_requests) == 1  # the connection is reused
     upstream.feed(b"-BUSY\r\n")
@@ -375,7 +377,7 @@
         client.feed(encode_request())
     upstreams = [harness.connect_upstream(0), harness.connect_upstream(1)]
     upstreams[0].feed(encode_reply())
-    harness.loop.advance(0.03)
+    harness.loop.advance(REPLY_SETTLE_S)
     upstreams[1].feed(encode_reply())
     sent = [len(upstream.sent) for upstream in upstreams]
     clients[2].feed(encode_request())
@@ -389,6 +391,7 @@
     client.feed(encode_request())
     upstream = harness.connect_upstream()
     upstream.feed(encode_reply())
+    harness.loop.advance(REPLY_SETTLE_S)
     upstream.stream.poller = type("FakePoller", (), {"poll": lambda self, wait: [(5, 1)]})()
     client.feed(encode_request())
     assert not upstream.open and upstream.sent.count(b"C.GET") == 1
--- a/tests/test_reply_matching.py
+++ b/tests/test_reply_matching.py
@@ -14,9 +14,12 @@
 
 from calicofall.proxy.buffers import RingBuffer
 from calicofall.proxy.command_parser import CommandParser
+from calicofall.proxy.reply_distinctness import MIN_DISTINCT_REPLIES
 from calicofall.proxy.resp import INCOMPLETE
+from calicofall.proxy.upstream_connection import REPLY_SETTLE_S
 
 CLIENTS = 4
+MAX_COPY_DELAY_S = 0.06  # of a second copy after the reply
 KEY = 7  # of all requests, so that they share the connections to one cache
 
 
@@ -35,6 +38,9 @@
         self.unanswered: deque[bytes] = deque()  # ids
         self.received: list[tuple[bytes, bytes]] = []  # command name and id of each complete command
         self.rejected: list[bytes] = []  # ids of the commands that were answered with -BUSY
+        self.last_reply: bytes | None = None  # a second copy of it may still be sent
+        self.last_reply_at = 0.0
+        self.copy_on_its_way: bytes | None = None
 
     def receive(self) -> None:
         """Reads what the proxy has written."""
@@ -46,14 +52,36 @@
                 self.unanswered.append(command[2])
                 self.received.append((command[0], command[2]))
 
+    def reply(self, data: bytes) -> None:
+        """Sends a reply; a second copy of the last one that is on its way arrives before it."""
+        self.deliver_copy()
+        if self.transport.open:
+            self.transport.feed(data)
+        self.last_reply = data
+        self.last_reply_at = self.transport.stream.loop.time()
+
     def answer(self) -> None:
         """Answers the first command with a value that names it."""
-        self.transport.feed(encode_reply(b"for-" + self.unanswered.popleft()))
+        self.reply(encode_reply(b"for-" + self.unanswered.popleft()))
 
     def reject(self) -> None:
         """Answers the first command with -BUSY: it has not run."""
         self.rejected.append(self.unanswered.popleft())
-        self.transport.feed(b"-BUSY\r\n")
+        self.reply(b"-BUSY\r\n")
+
+    def send_copy(self) -> None:
+        """Sends a second copy of a reply that was sent a moment ago, if nothing has arrived since."""
+        now = self.transport.stream.loop.time()
+        nothing_arrived = not self.unanswered and not self.parser.has_partial_message()
+        if self.last_reply is not None and nothing_arrived and now < self.last_reply_at + MAX_COPY_DELAY_S:
+            self.copy_on_its_way = self.last_reply
+            self.last_reply = None
+
+    def deliver_copy(self) -> None:
+        """Lets a second copy that is on its way arrive; commands may have been written meanwhile."""
+        data, self.copy_on_its_way = self.copy_on_its_way, None
+        if data is not None and self.transport.open:
+            self.transport.feed(data)
 
     def drop(self, index: int) -> None:
         """Drops a command without a reply."""
@@ -63,9 +91,11 @@
 class ReplyModel:
     """Clients with one request each at a time, a proxy with few connections, and caches that misbehave."""
 
-    def __init__(self, caches: int, connections: int) -> None:
+    def __init__(self, caches: int, connections: int, replies_are_distinct: bool = False) -> None:
         self.harness = ProxyHarness(caches).with_high_limits()
         self.harness.proxy.upstreams.set_max_connections(connections)
+        if replies_are_distinct:
+            self.harness.proxy.upstreams.reply_distinctness.distinct_in_a_row = MIN_DISTINCT_REPLIES
         self.clients = [self.harness.client() for _ in range(CLIENTS)]
         self.request_ids: list[bytes | None] = [None] * CLIENTS  # of the request that each client waits for
         self.order_ids: set[bytes] = set()
@@ -102,6 +132,13 @@
         self.clients[number] = self.harness.client()
         self.request_ids[number] = None
 
+    def advance(self, duration_s: float) -> None:
+        """Lets time pass; second copies arrive before they are late."""
+        for cache in self.caches:
+            if self.harness.loop.time() + duration_s > cache.last_reply_at + MAX_COPY_DELAY_S:
+                cache.deliver_copy()
+        self.harness.loop.advance(duration_s)
+
     def accept_output(self) -> None:
         """Lets the caches read all that the proxy still has to write."""
         for cache in self.open_caches():
@@ -125,7 +162,6 @@
 
     def step(self, action: str, number: int) -> None:
         """Executes one step; `number` chooses among clients, connections, times and sizes."""
-        busy = [cache for cache in self.open_caches() if cache.unanswered]
         if action == "send":
             method = ("read", "order", "save")[number // CLIENTS % 3]
             remaining_ms = (10, 60, 900)[number // 12 % 3]
@@ -133,25 +169,33 @@
         elif action == "open":
             self.open_connections(None if number % 2 else 100_000)
         elif action == "advance":
-            self.harness.loop.advance((0.001, 0.011, 0.03, 0.2)[number % 4])
+            self.advance((0.001, 0.011, 0.03, 0.2)[number % 4])
         elif action == "disconnect":
             self.disconnect(number % CLIENTS)
         elif action == "accept":
             self.accept_output()
-        elif busy:
-            cache = busy[number % len(busy)]
+        elif caches := self.open_caches():
+            self.step_of_cache(action, caches[number % len(caches)], number)
+        self.harness.loop.advance()
+        self.check()
+
+    def step_of_cache(self, action: str, cache: FakeCache, number: int) -> None:
+        """Executes one step of a cache."""
+        if action == "send copy":
+            cache.send_copy()
+        elif action == "deliver copy":
+            cache.deliver_copy()
+        elif cache.unanswered:
             if action == "drop":
                 cache.drop(number)
             elif action == "reject":
                 cache.reject()
             else:
                 cache.answer()
-        self.harness.loop.advance()
-        self.check()
 
     def finish(self) -> None:
         """Lets the time of all requests pass: each client that stayed has its final answer."""
-        self.harness.loop.advance(3.0)
+        self.advance(3.0)
         self.check()
         assert self.request_ids == [None] * CLIENTS
         assert not self.harness.proxy.active_requests
@@ -159,25 +203,21 @@
 
 
 ACTIONS = (
-    "send",
-    "send",
-    "send",
-    "open",
-    "advance",
-    "answer",
-    "answer",
-    "drop",
-    "reject",
-    "disconnect",
-    "accept",
+    *("send", "send", "send", "open", "advance", "answer", "answer"),
+    *("drop", "reject", "disconnect", "accept", "send copy", "deliver copy"),
 )
 
 
 @hypothesis_settings(max_examples=400)
-@given(st.lists(st.tuples(st.sampled_from(ACTIONS), st.integers(0, 71)), min_size=20, max_size=80))
-def test_no_command_gets_a_reply_made_for_another(steps: list[tuple[str, int]]) -> None:
-    """Guards against replies that shift to the next command after a drop, a time-out or a disconnect."""
-    model = ReplyModel(caches=2, connections=2)
+@given(
+    st.booleans(),
+    st.lists(st.tuples(st.sampled_from(ACTIONS), st.integers(0, 71)), min_size=20, max_size=80),
+)
+def test_no_command_gets_a_reply_made_for_another(
+    replies_are_distinct: bool, steps: list[tuple[str, int]]
+) -> None:
+    """Guards against replies that pass for another command's: after drops, time-outs, departures, copies."""
+    model = ReplyModel(2, 2, replies_are_distinct)
     for action, number in steps:
         model.step(action, number)
     model.finish()
@@ -239,7 +279,7 @@
         (cache,) = model.open_caches()
         assert len(cache.unanswered) == 1
         cache.answer()
-        model.harness.loop.advance()
+        model.advance(REPLY_SETTLE_S)
         model.check()
     assert [received_id for _, received_id in model.caches[0].received] == ids
 
@@ -283,3 +323,84 @@
     model.harness.loop.advance(0.101)
     assert model.clients[2].take().startswith(b"-BUSY")
     assert model.open_caches()
+
+
+def answered_model(replies_are_distinct: bool) -> tuple[ReplyModel, FakeCache]:
+    """Returns a model with one connection, on which a second copy of a reply is on its way."""
+    model = ReplyModel(1, 1, replies_are_distinct)
+    model.send(0, "read", 900, 1)
+    model.open_connections()
+    (cache,) = model.open_caches()
+    cache.answer()
+    cache.send_copy()
+    model.check()
+    return model, cache
+
+
+@pytest.mark.parametrize("replies_are_distinct", [False, True])
+def test_second_copy_that_crosses_the_next_command_is_not_its_reply(replies_are_distinct: bool) -> None:
+    """Guards against a second copy, milliseconds late, that passes for the next command's reply."""
+    model, cache = answered_model(replies_are_distinct)
+    model.send(1, "order", 900, 1)
+    model.harness.loop.advance(0.004)
+    cache.deliver_copy()
+    model.check()
+    model.harness.loop.advance(REPLY_SETTLE_S)
+    model.open_connections()
+    (cache,) = model.open_caches()
+    assert len(model.caches) == (1 if replies_are_distinct else 2)
+    cache.answer()
+    model.check()
+    assert model.request_ids[1] is None
+    assert model.harness.proxy.metrics.second_copies == replies_are_distinct
+
+
+def test_second_copy_that_arrives_while_a_long_command_is_half_written_is_not_its_reply() -> None:
+    """Guards against a receipt for a write of which the cache does not have the last byte yet."""
+    model = ReplyModel(1, 1, True)
+    model.send(0, "read", 900, 1)
+    model.open_connections(pause_after_bytes=100_000)
+    (cache,) = model.open_caches()
+    cache.answer()
+    model.check()
+    model.send(1, "order", 900, 200_000)
+    assert cache.transport.stream.write_paused
+    cache.transport.feed(encode_reply(b"another"))
+    model.harness.loop.advance()
+    assert not cache.transport.open
+    assert model.clients[1].take().startswith(b"-BUSY")  # certain not to have run
+    assert model.harness.proxy.metrics.attempts_sent == 1
+
+
+def test_replies_that_are_equal_by_themselves_are_served_after_the_time_for_second_copies() -> None:
+    """Guards against deployments with constant values or receipts that would lose all their answers."""
+    model = ReplyModel(1, 1, True)
+    client = model.clients[0]
+    client.feed(encode_request("order"))
+    upstream = model.harness.connect_upstream()
+    upstream.feed(encode_reply(b"stored"))
+    assert client.take() == b"$6\r\nstored\r\n"
+    client.feed(encode_request("order", remaining_ms="300"))
+    upstream.feed(encode_reply(b"stored"))
+    model.harness.loop.advance(0.301)  # it may have been a second copy: whether the order has run is unknown
+    assert client.take().startswith(b"-ERR")
+    for _ in range(3):
+        client.feed(encode_request("order"))
+        model.harness.loop.advance(REPLY_SETTLE_S)
+        connection = model.harness.loop.connect_requests[-1][0]
+        (connection.transport or FakeTransport(connection)).feed(encode_reply(b"stored"))
+        assert client.take() == b"$6\r\nstored\r\n"
+    assert len(model.harness.loop.connect_requests) == 2
+
+
+def test_connection_is_not_used_again_at_once_after_an_error() -> None:
+    """Guards against a second copy of -BUSY that passes for the proof that an order never ran."""
+    model = ReplyModel(1, 1, True)
+    model.send(0, "read", 900, 1)
+    model.open_connections()
+    (cache,) = model.open_caches()
+    cache.reject()
+    model.harness.loop.advance()
+    model.send(1, "order", 900, 1)
+    model.open_caches()
+    assert not cache.unanswered
