Room for a long command is set aside by its told length, in the order of arrival

Cause: ClientConnections.update_partial_command let a command be read until the sum was over the limit, and wait then with what it had. Those that wait held the memory that they waited for, and nothing certain to come woke them.

Change: CommandMemory. Room for the whole value is set aside before it is read, in the order of arrival, within one sum of incomplete commands, complete ones and answers; one long command always fits. Who waits is woken where memory is released, or refused by a timer after half of its time: the value is read without being kept and answered -BUSY. The wait is taken off the request's time, since its last byte may have lain unread. Counters memory_waits, memory_wait_ms, memory_refusals; a log line.

Why it works: who waits holds nothing that others wait for, and each wait has a timer.

--- a/calicofall/proxy/client_connection.py
+++ b/calicofall/proxy/client_connection.py
@@ -14,6 +14,7 @@
 
 from calicofall.proxy import resp
 from calicofall.proxy.client_protocol import ARGUMENT_COUNTS
+from calicofall.proxy.command_memory import MAX_WAIT_FRACTION
 from calicofall.proxy.command_parser import CommandParser
 from calicofall.proxy.connection import BufferedConnection
 
@@ -24,6 +25,13 @@
 MAX_CONSECUTIVE_ERRORS = 8  # invalid commands in a row, after which the connection is closed
 
 
+def command_size(command: object) -> int:
+    """Returns the memory of a command that was received (bytes)."""
+    if not isinstance(command, list):
+        return 0
+    return sum(len(part) for part in command if isinstance(part, bytes))
+
+
 class PendingReply:
     """A reply that is due on a connection; it keeps its position in the order until it is written."""
 
@@ -32,6 +40,7 @@
         "answer",
         "active_request",
         "buffered_bytes",
+        "waited_s",
         "value_size",
         "head_sent",
         "request_next_chunk",
@@ -40,6 +49,7 @@
     def __init__(self, client: "ClientConnection", command_bytes: int) -> None:
         self.client = client
         self.buffered_bytes = command_bytes  # memory of the command, and of the answer until it is written
+        self.waited_s = 0.0  # for memory, of the time that the request has from its last byte on
         self.answer: bytes | None = None
         self.active_request: Any = None  # the proxy's state of the request
         self.value_size = -1  # of a streamed value
@@ -50,7 +60,7 @@
         """Sets the complete reply, encoded as RESP2."""
         self.answer = answer
         self.buffered_bytes += len(answer)
-        self.client.clients.buffered_bytes += len(answer)
+        self.client.clients.memory.add_buffered(len(answer))
         self.client.write_ready_replies()
 
     def start_streaming(self, size: int, request_next_chunk: Callable[[], None]) -> None:
@@ -78,12 +88,19 @@
     def __init__(self, clients: "ClientConnections") -> None:
         super().__init__(clients.loop)
         self.clients = clients
-        self.parser = CommandParser(self.input)
+        self.parser = CommandParser(self.input, asks_for_long_values=True)
         self.replies: deque[PendingReply] = deque()
         self.reading_paused = False
         self.ignores_input = False  # after QUIT, or after an error that closes the connection
         self.consecutive_errors = 0
-        self.partial_command_bytes = 0  # memory of an incomplete command
+        self.partial_bytes = (
+            0,
+            0,
+        )  # memory of an incomplete command, and what is reserved for its long value
+        self.waited_s = 0.0  # for memory, while the command that is incomplete was not read
+        self.lacks_memory = (
+            False  # whether that command is refused, as there was no room for its value in time
+        )
         self.partial_progress_at = 0.0  # when more of it was last received (s, the loop's clock)
         self.stall_timer: asyncio.TimerHandle | None = None
 
@@ -123,7 +140,7 @@
             if answer is None:
                 break
             reply = self.replies.popleft()
-            self.clients.buffered_bytes -= reply.buffered_bytes
+            self.clients.memory.add_buffered(-reply.buffered_bytes)
             self.write(answer)
         if self.replies and not self.write_paused and self._stream(self.replies[0]):
             return
@@ -169,6 +186,17 @@
             return 0
         return int.from_bytes(unsent, sys.byteorder)
 
+    def on_room(self, waited_s: float) -> None:
+        """There is room for the long value that this client waits to be read."""
+        self.parser.accept_long_value()
+        self._read_after_wait(waited_s)
+
+    def on_no_room(self, waited_s: float) -> None:
+        """There was no room for the long value in time: it is read without being kept, then refused."""
+        self.lacks_memory = True
+        self.parser.discard_long_value()
+        self._read_after_wait(waited_s)
+
     def close(self) -> None:
         """Closes after the last byte has been sent."""
         if not (self.closing or self.closed):
@@ -191,7 +219,7 @@
         self.clients.remove_client(self)
         replies, self.replies = self.replies, deque()
         for reply in replies:
-            self.clients.buffered_bytes -= reply.buffered_bytes
+            self.clients.memory.add_buffered(-reply.buffered_bytes)
             if reply.answer is None:
                 self.clients.on_client_disconnected(reply)
 
@@ -205,31 +233,51 @@
                 self.reject_further_input(str(error))
                 return
             if command is resp.INCOMPLETE:
+                if self.parser.long_value_awaits_decision and self._has_room():
+                    self.parser.accept_long_value()
+                    continue
                 self.clients.update_partial_command(self, self.parser.has_partial_message())
                 return
+            # First, so that the command's memory passes from incomplete to complete without a gap.
+            reply = self._add_reply(command_size(command))
             self.clients.update_partial_command(self, False)
-            self._handle_command(command)
+            self._handle_command(reply, command)
+
+    def _has_room(self) -> bool:
+        """Whether the long value that is next may be read now; else the client waits for room."""
+        memory = self.clients.memory
+        if self in memory.waiting:
+            return False
+        max_wait_s = MAX_WAIT_FRACTION * self.clients.find_time_left_s(self.parser.parts_received())
+        return memory.has_room(self, self.parser.bulk_length, max_wait_s)
+
+    def _read_after_wait(self, waited_s: float) -> None:
+        self.waited_s += waited_s
+        self.clients.update_partial_command(self, True)
+        self.clients.loop.call_soon(self.on_data)
 
     def _must_pause_reading(self) -> bool:
         """Whether the replies due, or the memory used by all clients, allow no further command."""
-        has_memory = self.clients.buffered_bytes < self.clients.read_ahead_bytes
-        max_replies = MAX_PIPELINED_COMMANDS if has_memory else 1
-        return (
-            self.write_paused or self in self.clients.waiting_for_memory or len(self.replies) >= max_replies
-        )
+        memory = self.clients.memory
+        max_replies = MAX_PIPELINED_COMMANDS if memory.has_read_ahead() else 1
+        return self.write_paused or self in memory.waiting or len(self.replies) >= max_replies
 
     def _add_reply(self, command_bytes: int) -> PendingReply:
         reply = PendingReply(self, command_bytes)
         self.replies.append(reply)
-        self.clients.buffered_bytes += command_bytes
+        reply.waited_s, self.waited_s = self.waited_s, 0.0
+        self.clients.memory.add_buffered(command_bytes)
         self.clients.mark_busy(self)
         return reply
 
-    def _handle_command(self, command: object) -> None:
+    def _handle_command(self, reply: PendingReply, command: object) -> None:
+        if self.lacks_memory:
+            self.lacks_memory = False
+            reply.complete(resp.encode_error("BUSY"))
+            return
         if not isinstance(command, list) or not command or not all(type(part) is bytes for part in command):
-            self.reject_command(self._add_reply(0), "a command is an array of bulk strings")
+            self.reject_command(reply, "a command is an array of bulk strings")
             return
-        reply = self._add_reply(sum(map(len, command)))
         name = command[0].upper()
         if name in ARGUMENT_COUNTS:
             self.clients.on_request(reply, [name, *command[1:]])
--- a/calicofall/proxy/client_protocol.py
+++ b/calicofall/proxy/client_protocol.py
@@ -62,6 +62,16 @@
     }
 
 
+def parse_time_left_ms(parts: list[Any], methods: Mapping[str, Mapping[str, Any]]) -> float:
+    """Returns how long a request may take, if its value is not received yet (ms); 0 if it is invalid."""
+    try:
+        values = _parse_named_values(parts[3])
+        hard_deadline_ms: float = methods[_parse_method(values, methods)]["hard_deadline"]
+        return min(_parse_patience(values), hard_deadline_ms)
+    except (InvalidRequestError, IndexError, TypeError):
+        return 0.0
+
+
 def _parse_named_values(text: bytes) -> dict[bytes, bytes]:
     if not NAMED_VALUES.fullmatch(text):
         raise InvalidRequestError("what follows the id is no list of names and values")
--- a/calicofall/proxy/clients.py
+++ b/calicofall/proxy/clients.py
@@ -10,6 +10,7 @@
 from collections.abc import Callable, Sequence
 
 from calicofall.proxy.client_connection import ClientConnection, PendingReply
+from calicofall.proxy.command_memory import CommandMemory
 
 FIRST_BYTE_TIMEOUT_S = 2.3
 COMMAND_TIMEOUT_S = 2.5  # for a complete command, or for more input of a long one
@@ -27,26 +28,29 @@
     Args:
         loop: The event loop.
         max_connections: Maximum number of connections to clients and endpoints together.
-        read_ahead_bytes: Memory of commands and replies at which clients' commands are no longer read ahead.
+        memory: The memory of commands and replies.
         stall_timeout_s: Time in which a client has to accept some output; MIN_STALL_TIMEOUT_S at least.
         on_request: Called with the reply that is due and the parts of a request's command.
+        find_time_left_s: Returns a request's time (s) from the parts of its command before its value.
         on_client_disconnected: Called with each reply that was still due to a client that disconnected.
     """
 
-    def __init__(
+    def __init__(  # noqa: PLR0913 - parts of the proxy, passed once
         self,
         loop: asyncio.AbstractEventLoop,
         max_connections: int,
-        read_ahead_bytes: int,
+        memory: CommandMemory,
         stall_timeout_s: float,
         on_request: Callable[[PendingReply, list[bytes]], None],
+        find_time_left_s: Callable[[list[bytes]], float],
         on_client_disconnected: Callable[[PendingReply], None],
     ) -> None:
         self.loop = loop
         self.max_connections = max(1, max_connections)
-        self.read_ahead_bytes = read_ahead_bytes
+        self.memory = memory
         self.stall_timeout_s = max(stall_timeout_s, MIN_STALL_TIMEOUT_S)
         self.on_request = on_request
+        self.find_time_left_s = find_time_left_s
         self.on_client_disconnected = on_client_disconnected
         self.count_other_connections: Callable[[], int] = lambda: 0  # to endpoints, within the same budget
         self.connections: set[ClientConnection] = set()
@@ -55,14 +59,11 @@
         self.idle: OrderedDict[ClientConnection, float] = OrderedDict()
         self.partial_commands: OrderedDict[ClientConnection, float] = OrderedDict()
         self.closing: dict[ClientConnection, None] = {}  # waiting for the client to close, too
-        self.waiting_for_memory: set[ClientConnection] = set()  # subset of `partial_commands`
         # Set during a graceful shutdown: connections close after their next reply, and PING gets an error.
         self.close_after_reply = False
         self.rejects_ping = False
         self.first_byte_timeout_s = FIRST_BYTE_TIMEOUT_S
         self.command_timeout_s = COMMAND_TIMEOUT_S
-        self.buffered_bytes = 0  # of complete commands and of replies
-        self.partial_command_bytes = 0  # of incomplete commands
 
     def add_client(self) -> ClientConnection:
         """Creates the connection of a new client."""
@@ -93,28 +94,24 @@
             self.idle[client] = self.loop.time()
 
     def update_partial_command(self, client: ClientConnection, has_partial: bool) -> None:
-        """Updates whether a client has sent an incomplete command, and bounds the memory of all of these."""
-        partial_command_bytes = len(client.input.memory) + client.parser.bulk_bytes_read if has_partial else 0
-        self.partial_command_bytes += partial_command_bytes - client.partial_command_bytes
-        client.partial_command_bytes = partial_command_bytes
+        """Updates whether a client has sent an incomplete command, and bounds the memory of short ones."""
+        former_short, former_reserved = client.partial_bytes
+        long_value_bytes = client.parser.long_value_bytes if has_partial else 0
+        memory_bytes = len(client.input.memory) if has_partial else 0
+        is_long = has_partial and client.parser.is_reading_long_value
+        client.partial_bytes = (0, memory_bytes + long_value_bytes) if is_long else (memory_bytes, 0)
         if has_partial:
             client.partial_progress_at = self.loop.time()
             self.partial_commands.setdefault(client, client.partial_progress_at)
             self.idle.pop(client, None)  # a slow client is not idle while it sends a command
         else:
             self.partial_commands.pop(client, None)
-            self.waiting_for_memory.discard(client)
-        while self.partial_command_bytes > self.read_ahead_bytes and len(self.partial_commands) > 1:
-            if has_partial and client.parser.is_reading_long_value:
-                self._wait_for_memory(client)
-                return
-            oldest = next(
-                (other for other in self.partial_commands if other not in self.waiting_for_memory), None
-            )
-            if oldest is None:
-                return
+            self.memory.stop_waiting(client)
+        short, reserved = client.partial_bytes
+        self.memory.add_partial(short - former_short, reserved - former_reserved)
+        while self.memory.short_bytes > self.memory.read_ahead_bytes:
+            oldest = next(other for other in self.partial_commands if other.partial_bytes[0])
             self.reject_partial_command(oldest, "too much has come in halves")
-        self._resume_waiting()
 
     def reject_partial_command(self, client: ClientConnection, reason: str) -> None:
         """Closes a connection whose command is incomplete, with an error reply."""
@@ -213,23 +210,9 @@
         )
         return next((client for client in candidates if client is not None), None)
 
-    def _wait_for_memory(self, client: ClientConnection) -> None:
-        """Pauses the reading of a long command while another long one is being read."""
-        others = self.partial_commands.keys() - self.waiting_for_memory - {client}
-        if any(other.parser.is_reading_long_value for other in others):
-            self.waiting_for_memory.add(client)
-
-    def _resume_waiting(self) -> None:
-        waiting, self.waiting_for_memory = self.waiting_for_memory, set()
-        for client in waiting:
-            now = self.loop.time()
-            self.partial_commands[client] = now
-            client.partial_progress_at = now
-            self.loop.call_soon(client.on_data)
-
     def _may_go_on(self, client: ClientConnection, now: float, overdue_before: float) -> bool:
         """Returns whether an overdue command may go on: a long one that grows or that waits for memory."""
         makes_progress = client.parser.is_reading_long_value and client.partial_progress_at >= overdue_before
-        if not (client in self.waiting_for_memory or makes_progress):
+        if not (client in self.memory.waiting or makes_progress):
             return False
         return self.partial_commands.get(client, now) >= now - LONG_COMMAND_FACTOR * self.command_timeout_s
--- /dev/null
+++ b/calicofall/proxy/command_memory.py
@@ -0,0 +1,138 @@
+"""The memory of clients' commands and of replies: room for long values, in the order of their arrival.
+
+A long value is read only once room for its whole length is set aside, so that a command that has begun to be
+read is read to its end. What finds no room waits unread; it is refused in time for its client to be answered.
+
+Invariants: incomplete long commands, complete commands and replies together stay within twice
+`read_ahead_bytes`, and one long command beyond that; whoever waits gets room when some is released, or is
+refused by a timer.
+"""
+
+import asyncio
+import logging
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from calicofall.proxy.metrics import Metrics
+
+if TYPE_CHECKING:
+    from calicofall.proxy.client_connection import ClientConnection
+
+MAX_WAIT_FRACTION = 0.5  # of the time that a request has; the rest is for its attempts
+LOG_INTERVAL_S = 10.0  # between two log lines about waits
+log = logging.getLogger("calicofall")
+
+
+@dataclass(slots=True)
+class RoomWait:
+    """A client that waits for room for a long value."""
+
+    size: int  # bytes
+    began_at: float  # (s, the loop's clock)
+    timer: asyncio.TimerHandle  # refuses it
+
+
+class CommandMemory:
+    """The bytes in use, and the clients that wait for room.
+
+    Args:
+        loop: The event loop.
+        read_ahead_bytes: Bytes of complete commands and replies at which commands are no longer read ahead.
+            Incomplete long commands may use as much.
+        metrics: Counts the waits and refusals.
+    """
+
+    def __init__(self, loop: asyncio.AbstractEventLoop, read_ahead_bytes: int, metrics: Metrics) -> None:
+        self.loop = loop
+        self.read_ahead_bytes = read_ahead_bytes
+        self.metrics = metrics
+        self.buffered_bytes = 0  # of complete commands and of replies
+        self.short_bytes = 0  # of incomplete commands without a long value
+        self.reserved_bytes = 0  # of incomplete commands with a long value: its whole length
+        self.waiting: dict[ClientConnection, RoomWait] = {}  # in the order of arrival
+        self.longest_wait_s = 0.0  # since the last log line
+        self.next_log_at = 0.0
+
+    @property
+    def partial_command_bytes(self) -> int:
+        """Bytes of incomplete commands."""
+        return self.short_bytes + self.reserved_bytes
+
+    def has_read_ahead(self) -> bool:
+        """Whether clients' next commands may be read before the replies to the former ones are written."""
+        return self.buffered_bytes < self.read_ahead_bytes
+
+    def set_read_ahead(self, read_ahead_bytes: int) -> None:
+        """Changes the limits; what is in use already stays."""
+        self.read_ahead_bytes = read_ahead_bytes
+        self._grant()
+
+    def add_buffered(self, count: int) -> None:
+        """Adds bytes of complete commands and replies; a negative count releases them."""
+        self.buffered_bytes += count
+        if count < 0:
+            self._grant()
+
+    def add_partial(self, short: int, reserved: int) -> None:
+        """Adds bytes of incomplete commands without and with a long value; negative counts release them."""
+        self.short_bytes += short
+        self.reserved_bytes += reserved
+        if short < 0 or reserved < 0:
+            self._grant()
+
+    def has_room(self, client: "ClientConnection", size: int, max_wait_s: float) -> bool:
+        """Returns whether a long value may be read now; else its client waits, until a maximum time."""
+        if not self.waiting and self._fits(size):
+            return True
+        timer = self.loop.call_later(max_wait_s, self._refuse, client)
+        self.waiting[client] = RoomWait(size, self.loop.time(), timer)
+        self.metrics.memory_waits += 1
+        return False
+
+    def stop_waiting(self, client: "ClientConnection") -> float:
+        """Ends a client's wait, if it waits; returns how long it has waited (s)."""
+        wait = self.waiting.pop(client, None)
+        if wait is None:
+            return 0.0
+        wait.timer.cancel()
+        waited_s = self.loop.time() - wait.began_at
+        self.metrics.memory_wait_ms += round(waited_s * 1000.0)
+        self.longest_wait_s = max(self.longest_wait_s, waited_s)
+        self._log_waits()
+        return waited_s
+
+    def _fits(self, size: int) -> bool:
+        """Whether a long value fits; one fits if none is being read and little else is in use."""
+        if not self.reserved_bytes and self.has_read_ahead():
+            return True
+        total = self.buffered_bytes + self.short_bytes + self.reserved_bytes
+        return (
+            self.reserved_bytes + size <= self.read_ahead_bytes and total + size <= 2 * self.read_ahead_bytes
+        )
+
+    def _grant(self) -> None:
+        while self.waiting:
+            client, wait = next(iter(self.waiting.items()))
+            if not self._fits(wait.size):
+                return
+            client.on_room(self.stop_waiting(client))
+
+    def _refuse(self, client: "ClientConnection") -> None:
+        self.metrics.memory_refusals += 1
+        client.on_no_room(self.stop_waiting(client))
+        self._grant()
+
+    def _log_waits(self) -> None:
+        if self.loop.time() < self.next_log_at:
+            return
+        log.warning(
+            "long commands wait for memory",
+            extra={
+                "waits": self.metrics.memory_waits,
+                "refused": self.metrics.memory_refusals,
+                "longest_ms": round(self.longest_wait_s * 1000.0),
+                "waiting": len(self.waiting),
+            },
+        )
+        self.longest_wait_s = 0.0
+        self.next_log_at = self.loop.time() + LOG_INTERVAL_S
--- a/calicofall/proxy/command_parser.py
+++ b/calicofall/proxy/command_parser.py
@@ -1,9 +1,12 @@
 """Parser of clients' commands, which reads from a ring buffer.
 
 Invariants: it never blocks and reads nothing but its buffer; the memory that a peer can make it use is
-bounded; a byte that cannot occur at its position in a command is reported at once, not after more input.
+bounded; a byte that cannot occur at its position in a command is reported at once, not after more input; a
+long value is not read before it is accepted or discarded, if the parser was created to ask for that.
 """
 
+from enum import Enum
+from io import BytesIO
 from typing import Any
 
 from calicofall.proxy.buffers import RingBuffer
@@ -33,16 +36,32 @@
 VALUE_OPENED = Incomplete()  # a line that is the head of an array or of a bulk string, not a value by itself
 
 
+class LongValueUse(Enum):
+    """What is done with the long value that is next in the input."""
+
+    UNDECIDED = "undecided"  # it is not read
+    ACCEPTED = "accepted"
+    DISCARDED = "discarded"  # it is read and replaced by an empty value
+
+
 class CommandParser:
     """Reads one value after the other and keeps the received part of a value until it is complete."""
 
-    def __init__(self, ring: RingBuffer) -> None:
+    def __init__(self, ring: RingBuffer, asks_for_long_values: bool = False) -> None:
+        """Creates a parser.
+
+        Args:
+            ring: The input.
+            asks_for_long_values: Whether a long value waits until it is accepted or discarded.
+        """
         self.ring = ring
+        self.initial_use = LongValueUse.UNDECIDED if asks_for_long_values else LongValueUse.ACCEPTED
         # For each incomplete array, the outermost first: the members received so far and its length.
         self.incomplete_arrays: list[tuple[list[Any], int]] = []
         self.bulk_length = -1  # of the bulk string that is being received; -1 outside a bulk string
-        self.bulk_chunks: list[bytes] = []  # received part of a long bulk string
+        self.long_value = BytesIO()  # received part of a long bulk string; returns it without another copy
         self.bulk_bytes_read = 0
+        self.long_value_use = self.initial_use
         self.scanned_bytes = 0  # length of the incomplete line in which no line feed was found
         self.message_bytes = 0
 
@@ -77,11 +96,36 @@
         """Whether a long value is being received, for which memory is allocated as it arrives."""
         return self.bulk_length > STREAMING_THRESHOLD_BYTES
 
+    @property
+    def long_value_awaits_decision(self) -> bool:
+        """Whether a long value is next, and is neither accepted nor discarded."""
+        return self.is_reading_long_value and self.long_value_use is LongValueUse.UNDECIDED
+
+    @property
+    def long_value_bytes(self) -> int:
+        """Memory that the long value being read needs when it is complete."""
+        is_kept = self.is_reading_long_value and self.long_value_use is LongValueUse.ACCEPTED
+        return self.bulk_length if is_kept else 0
+
+    def accept_long_value(self) -> None:
+        """Lets the long value that is next be read."""
+        self.long_value_use = LongValueUse.ACCEPTED
+
+    def discard_long_value(self) -> None:
+        """Lets the long value that is next be read without being kept."""
+        self.long_value_use = LongValueUse.DISCARDED
+
+    def parts_received(self) -> list[Any]:
+        """Returns the complete members of the outermost array that is incomplete."""
+        return self.incomplete_arrays[0][0] if self.incomplete_arrays else []
+
     def has_partial_message(self) -> bool:
         """Whether a value has been received in part."""
         return bool(self.incomplete_arrays) or self.bulk_length >= 0 or len(self.ring) > 0
 
     def _is_bulk_complete(self) -> bool:
+        if self.long_value_awaits_decision:
+            return False
         has_read_all = self.bulk_bytes_read >= self.bulk_length
         if self.is_reading_long_value and not has_read_all and not self._read_long_value():
             return False
@@ -89,10 +133,12 @@
 
     def _take_bulk(self) -> bytes:
         is_chunked = self.bulk_bytes_read > 0
-        value = b"".join(self.bulk_chunks) if is_chunked else self.ring.take(self.bulk_length)
+        value = self.long_value.getvalue() if is_chunked else self.ring.take(self.bulk_length)
         self.bulk_length = -1
         self.bulk_bytes_read = 0
-        self.bulk_chunks = []
+        if is_chunked:
+            self.long_value = BytesIO()
+        self.long_value_use = self.initial_use
         if self.ring.take(2) != b"\r\n":
             raise ProtocolError("a bulk string of another length than announced")
         return value
@@ -160,7 +206,8 @@
         left = self.bulk_length - self.bulk_bytes_read
         chunk = self.ring.take(min(len(self.ring), left))
         if chunk:
-            self.bulk_chunks.append(chunk)
+            if self.long_value_use is LongValueUse.ACCEPTED:
+                self.long_value.write(chunk)
             self.bulk_bytes_read += len(chunk)
             left -= len(chunk)
         self.ring.reserve(min(STREAMING_THRESHOLD_BYTES, left + 2))
--- a/calicofall/proxy/metrics.py
+++ b/calicofall/proxy/metrics.py
@@ -17,6 +17,9 @@
         self.gauges = gauges
         self.attempts_sent = 0
         self.second_copies = 0  # second copies of replies that crossed the next command on its connection
+        self.memory_waits = 0  # long commands that waited for memory before their value was read
+        self.memory_wait_ms = 0  # how long these waited, in total
+        self.memory_refusals = 0  # of these, refused since their time was running out
         self.connection_waits = 0  # attempts that found no free connection and waited for one
 
     def count_answer(self, answer: str, method: str) -> None:
@@ -50,5 +53,8 @@
             f"proxy.sends:{self.attempts_sent}|c",
             f"proxy.connection_waits:{self.connection_waits}|c",
             f"proxy.second_copies:{self.second_copies}|c",
+            f"proxy.memory_waits:{self.memory_waits}|c",
+            f"proxy.memory_wait_ms:{self.memory_wait_ms}|c",
+            f"proxy.memory_refusals:{self.memory_refusals}|c",
         ]
         return [*counter_lines, *attempt_lines, *gauge_lines]
--- a/calicofall/proxy/server.py
+++ b/calicofall/proxy/server.py
@@ -39,8 +39,13 @@
 from calicofall.invariants import check_invariant, violation_counts
 from calicofall.proxy import configuration_sync, resp
 from calicofall.proxy.client_connection import PendingReply
-from calicofall.proxy.client_protocol import build_forwarded_command, parse_request_fields
+from calicofall.proxy.client_protocol import (
+    build_forwarded_command,
+    parse_request_fields,
+    parse_time_left_ms,
+)
 from calicofall.proxy.clients import ClientConnections
+from calicofall.proxy.command_memory import CommandMemory
 from calicofall.proxy.connection import Listener, check_address_available, open_connection
 from calicofall.proxy.discovery import Discovery
 from calicofall.proxy.gossip_transport import GossipTransport
@@ -236,9 +241,10 @@
         self.clients = ClientConnections(
             loop,
             max_connections,
-            read_ahead_bytes,
+            CommandMemory(loop, read_ahead_bytes, self.metrics),
             self.longest_deadline_s(),
             self.on_request,
+            self.find_time_left_s,
             self.on_client_disconnected,
         )
         self.clients.count_other_connections = self.upstreams.connection_count
@@ -522,6 +528,10 @@
 
     # Requests
 
+    def find_time_left_s(self, parts: list[bytes]) -> float:
+        """Returns how long a request may take, from the parts of its command received so far (s)."""
+        return parse_time_left_ms(parts, self.methods) / 1000.0
+
     def on_request(self, reply: PendingReply, parts: list[bytes]) -> None:
         """Accepts a client's request, or rejects its command."""
         try:
@@ -542,7 +552,10 @@
         self.active_client_ids.add(parts[2])
         now = self.now_ms()
         method = self.methods[fields["method"]]
-        expires_at = now + min(fields["patience"], method["hard_deadline"])
+        # Its time counts from its last byte, which may have arrived while the proxy did not read for want of
+        # memory.
+        time_left_ms = min(fields["patience"], method["hard_deadline"]) - reply.waited_s * 1000.0
+        expires_at = now + max(0.0, time_left_ms)
         # During a shutdown, a late request must not keep its connection open for the whole of its deadline.
         expires_at = min(
             expires_at, max(now, self.shutdown.answers_due_at * 1000.0 + self.wall_clock_offset_ms)
@@ -832,9 +845,10 @@
                     "serving": self.process_lock.serving_process_count + self.serving(),
                 },
             )
-            max_connections, max_upstream_connections, self.clients.read_ahead_bytes = self.connection_budget(
+            max_connections, max_upstream_connections, read_ahead_bytes = self.connection_budget(
                 process_count
             )
+            self.clients.memory.set_read_ahead(read_ahead_bytes)
             self.upstreams.set_max_connections(max_upstream_connections)
             self.clients.set_max_connections(max_connections)
             self.router.set_process_count(process_count)
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -301,7 +301,7 @@
     assert (
         connection.closed
         and not socket_harness.proxy.active_requests
-        and not socket_harness.proxy.clients.buffered_bytes
+        and not socket_harness.proxy.clients.memory.buffered_bytes
     )
 
 
--- a/tests/test_large.py
+++ b/tests/test_large.py
@@ -299,25 +299,25 @@
     upstream = harness.connect_upstream()
     assert upstream.sent.endswith(value + b"\r\n") and upstream.sent.count(b"C.SET") == 1
     upstream.feed(encode_reply(b"stored"))
-    assert client.sent == b"$6\r\nstored\r\n" and harness.proxy.clients.buffered_bytes == 0
+    assert client.sent == b"$6\r\nstored\r\n" and harness.proxy.clients.memory.buffered_bytes == 0
 
 
 def test_large_commands_wait_for_memory_and_all_arrive() -> None:
     """Six at once would exceed the memory: two or three are read at a time."""
     harness, value = ProxyHarness(caches=2).with_high_limits(), random_value(1 << 20)
     harness.proxy.upkeep()
-    harness.proxy.clients.read_ahead_bytes = 2 << 20
-    commands = [(harness.client(), encode_request("save", key=number, value=value)) for number in range(6)]
+    harness.proxy.clients.memory.read_ahead_bytes = 2 << 20
+    commands = [(harness.client(), encode_request("save", number, "2000", value)) for number in range(6)]
     unsent, max_partial_bytes, paused_count = dict(commands), 0, 0
     for _ in range(400):
         for client, data in list(unsent.items()):
             if not client.paused:
-                client.feed(data[:30_000])
-                unsent[client] = data[30_000:]
+                client.feed(data[:120_000])
+                unsent[client] = data[120_000:]
                 if not unsent[client]:
                     del unsent[client]
             paused_count += client.paused
-        max_partial_bytes = max(max_partial_bytes, harness.proxy.clients.partial_command_bytes)
+        max_partial_bytes = max(max_partial_bytes, harness.proxy.clients.memory.partial_command_bytes)
         for connection in [
             connection for connection, _ in harness.loop.connect_requests if connection.command
         ]:
--- a/tests/test_lease.py
+++ b/tests/test_lease.py
@@ -127,7 +127,9 @@
     for upstream in upstreams:
         upstream.feed(encode_reply())
     assert all(client.sent.endswith(b"$5\r\nfresh\r\n") for client in busy)
-    assert harness.proxy.clients.read_ahead_bytes < ProxyHarness().proxy.clients.read_ahead_bytes
+    assert (
+        harness.proxy.clients.memory.read_ahead_bytes < ProxyHarness().proxy.clients.memory.read_ahead_bytes
+    )
     other.release()
     harness.proxy.adjust_to_processes()
     assert (
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -248,7 +248,7 @@
 def test_read_ahead_is_limited_by_the_memory_of_buffered_commands() -> None:
     """Many clients that pipeline large values would use up the memory."""
     harness = ProxyHarness()
-    harness.proxy.clients.buffered_bytes = harness.proxy.clients.read_ahead_bytes
+    harness.proxy.clients.memory.buffered_bytes = harness.proxy.clients.memory.read_ahead_bytes
     client = harness.client()
     client.feed(encode_request(key=1) + encode_request(key=1))
     assert len(client.stream.replies) == 1 and client.paused
@@ -534,7 +534,7 @@
 def test_incomplete_large_commands_stay_within_the_memory_limit() -> None:
     """Hundreds of clients that stall in the middle of a command of 64 KiB would have used more than 32 MB."""
     harness, partial_command = ProxyHarness(), encode_request("save", value=bytes(60_000))[:40_000]
-    harness.proxy.clients.read_ahead_bytes = 2 << 20
+    harness.proxy.clients.memory.read_ahead_bytes = 2 << 20
     clients = [harness.client() for _ in range(200)]
     for client in clients:
         client.feed(partial_command)
@@ -542,7 +542,10 @@
     assert clients[0].sent.startswith(b"-ERR") and not clients[-1].sent
     for client in clients:
         client.abort()
-    assert harness.proxy.clients.partial_command_bytes == 0 and harness.proxy.clients.buffered_bytes == 0
+    assert (
+        harness.proxy.clients.memory.partial_command_bytes == 0
+        and harness.proxy.clients.memory.buffered_bytes == 0
+    )
 
 
 def test_many_invalid_commands_close_the_connection() -> None:
