Testbed: caches that drop commands and send replies twice; two planted mistakes are found

Change: cache.drops, drops_below_ms, copies, copy_ms, traffic.hurried, hurried_ms; the scenario replies-dropped-and-doubled; the history counts drops and copies. Planted: a proxy that takes second copies for replies, one that reads on after giving a command up; the checker's rule on one answer names both and neither sound one.

--- a/calicofall/testbed/checker.py
+++ b/calicofall/testbed/checker.py
@@ -167,6 +167,8 @@
             "faults": [what for *_, what in self.history.injected_faults],
             "sends": len(self.history.upstream_sends),
             "answers": len(self.history.client_answers),
+            "dropped_commands": self.history.dropped_commands,
+            "second_copies": self.history.second_copies,
         }
         self.record_costs()
         void_reason = ""
--- a/calicofall/testbed/clients.py
+++ b/calicofall/testbed/clients.py
@@ -248,8 +248,9 @@
         before any answer are retried at once.
         """
         traffic = self.scenario.traffic
+        is_hurried = traffic.hurried and self.random_generator.random() < traffic.hurried
         deadline, idempotency_key = (
-            at + traffic.hard_ms / 1000.0,
+            at + (traffic.hurried_ms if is_hurried else traffic.hard_ms) / 1000.0,
             f"{self.random_generator.getrandbits(64):016x}",
         )
         completed_at, attempts, last_attempt_id = None, 0, ""
--- a/calicofall/testbed/emulated_servers.py
+++ b/calicofall/testbed/emulated_servers.py
@@ -13,6 +13,8 @@
 from collections import deque
 from collections.abc import Callable
 from contextlib import suppress
+from dataclasses import dataclass, field
+from random import Random
 from typing import Any, Protocol
 
 import orjson
@@ -212,6 +214,29 @@
         """Handle the end of the connection; for subclasses."""
 
 
+@dataclass(frozen=True)
+class ReplyFaults:
+    """Faults of a cache node's replies.
+
+    Attributes:
+        copies: Share of the replies that are sent a second time, if nothing has arrived since.
+        copy_delay_s: Time from a reply to its second copy.
+        drops: Share of the commands with little time left that get no reply and are not executed.
+        drops_below_ms: What little time is.
+        random_generator: Draws which replies are sent twice, and which commands are dropped.
+    """
+
+    copies: float = 0.0
+    copy_delay_s: float = 0.0
+    drops: float = 0.0
+    drops_below_ms: float = 0.0
+    random_generator: Random = field(default_factory=lambda: Random(0))
+
+    def drops_command(self, time_left_ms: float) -> bool:
+        """Return whether a command with this time left gets no reply."""
+        return time_left_ms < self.drops_below_ms and self.random_generator.random() < self.drops
+
+
 class CacheEmulator:
     """An emulated cache node, which listens on its socket.
 
@@ -221,16 +246,19 @@
         model: What the node does and when.
         value_size: Returns the size (bytes) of a key's value.
         sends_load_reports: Whether answers carry the node's load.
+        reply_faults: Faults of its replies.
     """
 
-    def __init__(
+    def __init__(  # noqa: PLR0913 - parts of one node, passed once
         self,
         runner: Runner,
         name: str,
         model: CacheModel,
         value_size: Callable[[str], int],
         sends_load_reports: bool,
+        reply_faults: ReplyFaults | None = None,
     ) -> None:
+        self.reply_faults = reply_faults or ReplyFaults()
         self.runner, self.name, self.model, self.value_size, self.sends_load_reports = (
             runner,
             name,
@@ -255,6 +283,7 @@
         self.parser = CommandParser(self.receive_buffer)
         # By index of a send in the history, in order: its reply. None: not ready; empty: being written.
         self.replies_by_send: dict[int, bytes | None] = {}
+        self.pieces_received = 0
 
     def on_established(self) -> None:
         """Perform the handshake, or abort where the node accepts no more connections."""
@@ -269,6 +298,7 @@
 
     def on_bytes(self, at: float, data: bytes, _tag: Any) -> None:
         """Execute the commands that are complete; abort the connection after one that is malformed."""
+        self.pieces_received += 1
         self.receive_buffer.write(data)
         try:
             while not self.closed and (command := self.parser.read()) is not resp.INCOMPLETE:
@@ -292,6 +322,10 @@
                 at, self.proxy, self.server_name, name, method, idempotency_key, float(arguments[b"d"]), key
             )
         )
+        if self.emulator.reply_faults.drops_command(float(arguments[b"d"])):
+            history.dropped_commands += 1
+            history.send_ended_at[send_index] = now
+            return
         self.replies_by_send[send_index] = None
         begins_at = max(now, self.established_at)
         size = self.emulator.value_size(key)
@@ -323,6 +357,19 @@
             if reply:
                 self.replies_by_send[index] = b""  # being written
                 self.send(reply, index + 1)
+                self.schedule_copy(reply)
+
+    def schedule_copy(self, reply: bytes) -> None:
+        """Schedule a second copy of some replies."""
+        faults = self.emulator.reply_faults
+        if faults.copies and faults.random_generator.random() < faults.copies:
+            self.runner.loop.call_later(faults.copy_delay_s, self.send_copy, reply, self.pieces_received)
+
+    def send_copy(self, reply: bytes, pieces_received: int) -> None:
+        """Send a second copy of a reply, unless something has arrived since or waits for a reply."""
+        if not self.closed and not self.replies_by_send and self.pieces_received == pieces_received:
+            self.runner.history.second_copies += 1
+            self.send(reply)
 
     def on_written(self, tag: int) -> None:
         """Record that a send is no longer in flight; the tag is its index plus 1."""
--- a/calicofall/testbed/history.py
+++ b/calicofall/testbed/history.py
@@ -150,6 +150,8 @@
         processor_use: Processor time of all proxies in a second: when, cores.
         core_waits: Longest time for which a proxy waited for a core in a second: when, s.
         injected_faults: Injected faults: from, to, what.
+        dropped_commands: Number of commands that cache nodes dropped without a reply.
+        second_copies: Number of replies that cache nodes sent a second time.
     """
 
     started_at: float = 0.0
@@ -178,3 +180,5 @@
     processor_use: list[tuple[float, float]] = field(default_factory=list)
     core_waits: list[tuple[float, float]] = field(default_factory=list)
     injected_faults: list[tuple[float, float, str]] = field(default_factory=list)
+    dropped_commands: int = 0
+    second_copies: int = 0
--- a/calicofall/testbed/runner.py
+++ b/calicofall/testbed/runner.py
@@ -15,6 +15,7 @@
 from collections.abc import Callable
 from contextlib import suppress
 from pathlib import Path
+from random import Random
 from typing import Any
 
 import orjson
@@ -27,6 +28,7 @@
     DatagramRelay,
     DiscoveryEmulator,
     EmulatedConnection,
+    ReplyFaults,
     proxy_address,
 )
 from calicofall.testbed.history import CanaryEvent, History, ProcessEvent, PublishedVersion
@@ -192,7 +194,10 @@
             cache.fall_multiple,
             cache.fall_s,
         )
-        self.caches[name] = CacheEmulator(self, name, model, self.clients.value_size, cache.reports)
+        faults = ReplyFaults(
+            cache.copies, cache.copy_ms / 1000.0, cache.drops, cache.drops_below_ms, Random(name)
+        )
+        self.caches[name] = CacheEmulator(self, name, model, self.clients.value_size, cache.reports, faults)
 
     def endpoint_entry(
         self, name: str, status: str = "SERVING", since: float | None = None
--- a/calicofall/testbed/scenario.py
+++ b/calicofall/testbed/scenario.py
@@ -82,6 +82,10 @@
     cold_s: PositiveNumber = 10.0  # of the warm-up
     fall_multiple: PositiveNumber = 3.0  # of the capacity, from which on a cache collapses
     fall_s: PositiveNumber = 2.0  # span in which that load is measured, and for which the cache is down
+    copies: Share = 0.0  # of the replies, those sent a second time if nothing has arrived since
+    copy_ms: PositiveNumber = 4.0  # after the first one
+    drops: Share = 0.0  # of the commands with less time left than `drops_below_ms`, those that get no reply
+    drops_below_ms: NonNegativeNumber = 0.0
 
 
 class OriginCapacity(ScenarioTable):
@@ -104,6 +108,8 @@
     orders: Share = 0.05  # of the requests: non-retriable writes
     soft_ms: PositiveNumber = 500.0  # latency objective
     hard_ms: PositiveNumber = 1500.0  # deadline
+    hurried: Share = 0.0  # of the requests, those with a deadline of `hurried_ms`
+    hurried_ms: PositiveNumber = 30.0
     repeats: Annotated[int, Field(ge=0)] = 3  # retries of a client that was refused
     large: Share = 0.0  # of the keys, those with values of 20 kB
     hot: Share = 0.0  # of the requests, those for one key, from `hot_at` on
--- a/tests/rogues.py
+++ b/tests/rogues.py
@@ -172,6 +172,24 @@
     )
 
 
+def takes_second_copies() -> None:
+    """Takes a second copy of a reply for the reply to the next command on its connection."""
+    connection = upstream_connection.UpstreamConnection
+    connection.may_be_used = lambda self, now: True
+    connection.is_second_copy = lambda self, value: False
+
+
+def reads_late_replies() -> None:
+    """Uses a connection again on which the reply to a command that was given up may still arrive."""
+
+    def release(command: object, connection: upstream_connection.UpstreamConnection, outcome: str) -> str:
+        connection.command = None
+        connection.become_idle()
+        return outcome
+
+    upstream.Upstreams._withdraw = staticmethod(release)
+
+
 FAULTY_VARIANTS = {
     variant.__name__: variant
     for variant in (
@@ -190,6 +208,8 @@
         lies_of_caches,
         fetches_out_of_turn,
         sends_beyond_its_part,
+        takes_second_copies,
+        reads_late_replies,
     )
 }
 
--- a/tests/test_stage.py
+++ b/tests/test_stage.py
@@ -573,6 +573,22 @@
         assert rule in rules[f"p{number}"], (rule, rules)
 
 
+@SECOND_GROUP
+def test_dropped_commands_and_second_copies_give_no_client_a_foreign_reply(tmp_path: Path) -> None:
+    """Guards against replies that pass for another's, by real processes; two faulty proxies are found."""
+    plan = scenario.load_scenario("replies-dropped-and-doubled").model_copy(update={"seconds": 10.0})
+    os.environ["PYTHONPATH"] = str(FAULTY_PROXY_SCRIPT.parent.parent)
+    commands = {
+        number: [sys.executable, str(FAULTY_PROXY_SCRIPT), name, "serve"]
+        for number, name in ((1, "takes_second_copies"), (2, "reads_late_replies"))
+    }
+    verdict, history = run_until_judged(plan, tmp_path, commands=commands)
+    assert not verdict.void_reason
+    assert {f.proxy for f in verdict.findings if f.rule in ("one answer", "effects")} == {"p1", "p2"}
+    assert history.dropped_commands > 10
+    assert history.second_copies > 50
+
+
 @FIRST_GROUP
 def test_bounds_broken_on_purpose_are_each_found(tmp_path: Path) -> None:
     """Fleets of faulty proxies each exceed one bound of the checker.
