A long command that has begun is answered if an earlier reply falls due in a shutdown

Cause: ClientConnection._on_all_replied asked for unparsed bytes; of a long value that is half read none are left in the buffer. Change: it asks the parser whether a command has begun. Test: test_long_command_that_has_begun_is_answered_...; it failed before (the connection was shut after the first reply).

--- a/calicofall/proxy/client_connection.py
+++ b/calicofall/proxy/client_connection.py
@@ -311,8 +311,8 @@
 
     def _on_all_replied(self) -> None:
         is_shutting_down = self.clients.close_after_reply
-        # During a shutdown, commands that have been received are still answered before the close.
-        if self.ignores_input or (is_shutting_down and not len(self.input)):
+        # During a shutdown, commands that have begun are still answered before the close.
+        if self.ignores_input or (is_shutting_down and not self.parser.has_partial_message()):
             self.close()
         elif not is_shutting_down:
             self.clients.mark_idle(self)
--- a/tests/test_command_memory.py
+++ b/tests/test_command_memory.py
@@ -214,6 +214,25 @@
     assert all(client.transport.sent == b"$6\r\nstored\r\n" for client in clients)
 
 
+def test_long_command_that_has_begun_is_answered_if_an_earlier_reply_falls_due_in_a_shutdown() -> None:
+    """Guards against a long command that is cut in the middle at SIGTERM."""
+    harness = memory_harness()
+    client = WritingClient(harness, 1)
+    client.unsent = encode_request("save", 2) + client.unsent
+    client.write(300_000)
+    harness.sigterm()
+    answer_all(harness)
+    assert client.transport.sent == b"$6\r\nstored\r\n"
+    assert not client.transport.eof_written
+    harness.loop.advance(0.1)
+    client.write_all()
+    answer_all(harness)
+    harness.loop.advance(0.1)
+    answer_all(harness)
+    assert client.transport.sent == b"$6\r\nstored\r\n" * 2
+    assert client.transport.eof_written
+
+
 ACTIONS = ("write", "write", "write", "rest", "answer", "advance", "leave")
 
 
