--- a/calicofall/proxy/connection_pool.py
+++ b/calicofall/proxy/connection_pool.py
@@ -33,9 +33,8 @@
         self.connections: dict[UpstreamConnection, None] = {}  # in the order of their creation
         # Commands that wait for a connection, and until when its handshake may begin (s, the loop's clock).
         self.waiting: dict[UpstreamCommand, float] = {}
-        self.settle_timer: asyncio.TimerHandle | None = (
-            None  # set while commands wait for a settled connection
-        )
+        # Set while commands wait for an idle connection to settle.
+        self.settle_timer: asyncio.TimerHandle | None = None
         self.send_scheduled = False  # whether `_send_scheduled` runs in the next iteration of the loop
         self.accepts_requests = True  # whether the endpoint is neither draining nor gone
         # Rotates the order of the proxies' handshakes, so that a proxy's handshakes with different endpoints
--- a/calicofall/proxy/upstream_connection.py
+++ b/calicofall/proxy/upstream_connection.py
@@ -50,12 +50,11 @@
         self.is_open = False
         self.idle_since = 0.0  # (s, the loop's clock)
         self.settled_at = 0.0  # until when a second copy of the last reply may arrive (s, the loop's clock)
-        self.last_fingerprint: int | None = (
-            None  # of the last reply; None if that was an error or a long value
-        )
-        self.copy_discarded = (
-            False  # whether a second copy was discarded while the command waited for its reply
-        )
+        # Of the last reply; None if that was an error or a long value.
+        self.last_fingerprint: int | None = None
+        self.streams_reply = False  # whether the reply that is being received is a long value
+        # Whether a second copy was discarded while the command waited for its reply.
+        self.copy_discarded = False
         self.reading_paused = False  # whether the client accepts no more of a long answer
         # Where the command ends in all bytes queued here, until it has left the transport; then 0.
         self.unsent_end_offset = 0
@@ -107,6 +106,7 @@
                 self.fail_malformed(str(error))
                 return
             if value is resp.STREAM_STARTED:
+                self.streams_reply = True
                 size = self.parser.stream_bytes_left + resp.WITHHELD_TAIL_BYTES
                 self.pool.upstreams.start_streaming(self.command, self, size)
                 # If this reply is the next one that the client gets, `start_streaming` has called
@@ -157,7 +157,7 @@
             self.copy_discarded = True
             self.pool.upstreams.metrics.second_copies += 1
             return
-        self._remember_reply(value, was_streamed=command.sink is not None)
+        self._remember_reply(value)
         self.command = None
         self.become_idle()
         # If the command was cancelled, this reports nothing: its reply is discarded.
@@ -176,12 +176,13 @@
             may_arrive and self.last_fingerprint is not None and fingerprint(value) == self.last_fingerprint
         )
 
-    def _remember_reply(self, value: Any, was_streamed: bool) -> None:
+    def _remember_reply(self, value: Any) -> None:
         last_fingerprint = self.last_fingerprint
-        self.last_fingerprint = None if was_streamed else fingerprint(value)
+        self.last_fingerprint = None if self.streams_reply else fingerprint(value)
         if last_fingerprint is not None and self.last_fingerprint is not None:
             self.pool.upstreams.reply_distinctness.add(self.last_fingerprint != last_fingerprint)
         self.settled_at = self.loop.time() + REPLY_SETTLE_S
+        self.streams_reply = False
         self.copy_discarded = False
 
     def check_stall(self) -> None:
@@ -289,9 +290,10 @@
 def fingerprint(value: Any) -> int | None:
     """Returns a number by which a reply is compared with the next one; None for an error.
 
-    Errors of different requests are often equal.
+    Errors of different requests are often equal. The load report is left out: it says nothing of the request,
+    and may be malformed in a second copy.
     """
-    return None if isinstance(value, resp.ErrorReply) else hash(tuple(value))
+    return None if isinstance(value, resp.ErrorReply) else hash((value[0], value[1]))
 
 
 def parse_reply(value: Any) -> tuple[str, bytes, str | None, dict[str, float] | None]:
--- a/tests/test_reply_matching.py
+++ b/tests/test_reply_matching.py
@@ -372,6 +372,39 @@
     assert model.harness.proxy.metrics.attempts_sent == 1
 
 
+@pytest.mark.parametrize("load_report", [b"$5\r\nbusy=\r\n", b"?"])
+def test_second_copy_with_another_load_report_is_not_the_reply_to_the_next_command(
+    load_report: bytes,
+) -> None:
+    """Guards against a second copy whose load report differs or cannot be read."""
+    model = ReplyModel(1, 1, True)
+    model.send(0, "read", 900, 1)
+    model.open_connections()
+    (cache,) = model.open_caches()
+    data = encode_reply(b"for-" + cache.unanswered.popleft())
+    cache.transport.feed(data)
+    model.check()
+    model.send(1, "read", 900, 1)
+    cache.transport.feed(data.removesuffix(b"$-1\r\n") + load_report)
+    model.check()
+
+
+def test_connection_is_not_used_again_at_once_after_a_long_reply_that_nobody_waited_for() -> None:
+    """Guards against the second copy of a long reply, which would be forwarded before it can be compared."""
+    model = ReplyModel(1, 1, True)
+    model.harness.proxy.upstreams.find_sink = lambda *_: None
+    model.send(0, "read", 900, 1)
+    model.open_connections()
+    (cache,) = model.open_caches()
+    cache.unanswered.clear()
+    cache.transport.feed(encode_reply(bytes(100_000)))
+    model.harness.loop.advance()
+    assert cache.transport.open
+    model.send(1, "read", 900, 1)
+    model.open_caches()
+    assert not cache.unanswered
+
+
 def test_replies_that_are_equal_by_themselves_are_served_after_the_time_for_second_copies() -> None:
     """Guards against deployments with constant values or receipts that would lose all their answers."""
     model = ReplyModel(1, 1, True)
