Commands that wait for room do not count as being read

Change: only an accepted long value counts as being read; one that waits holds no more than an idle connection.

--- a/calicofall/proxy/client_connection.py
+++ b/calicofall/proxy/client_connection.py
@@ -22,6 +22,7 @@
     from calicofall.proxy.clients import ClientConnections
 
 MAX_PIPELINED_COMMANDS = 16
+NO_PARTIAL_COMMAND = (0, 0)  # its memory: without, with a long value
 MAX_CONSECUTIVE_ERRORS = 8  # invalid commands in a row, after which the connection is closed
 
 
@@ -93,14 +94,11 @@
         self.reading_paused = False
         self.ignores_input = False  # after QUIT, or after an error that closes the connection
         self.consecutive_errors = 0
-        self.partial_bytes = (
-            0,
-            0,
-        )  # memory of an incomplete command, and what is reserved for its long value
+        # Memory of an incomplete command without a long value, and of one with a long value.
+        self.partial_bytes = NO_PARTIAL_COMMAND
         self.waited_s = 0.0  # for memory, while the command that is incomplete was not read
-        self.lacks_memory = (
-            False  # whether that command is refused, as there was no room for its value in time
-        )
+        # Whether that command is refused, since there was no room for its value in time.
+        self.lacks_memory = False
         self.partial_progress_at = 0.0  # when more of it was last received (s, the loop's clock)
         self.stall_timer: asyncio.TimerHandle | None = None
 
@@ -186,6 +184,17 @@
             return 0
         return int.from_bytes(unsent, sys.byteorder)
 
+    def measure_partial_command(self) -> tuple[int, int]:
+        """Returns the memory of an incomplete command, by whether room is set aside for a long value of it.
+
+        One that waits for room holds no more than an idle connection.
+        """
+        if self.parser.long_value_awaits_decision:
+            return NO_PARTIAL_COMMAND
+        buffer_bytes = len(self.input.memory)
+        long_value_bytes = self.parser.long_value_bytes
+        return (0, buffer_bytes + long_value_bytes) if long_value_bytes else (buffer_bytes, 0)
+
     def on_room(self, waited_s: float) -> None:
         """There is room for the long value that this client waits to be read."""
         self.parser.accept_long_value()
--- a/calicofall/proxy/clients.py
+++ b/calicofall/proxy/clients.py
@@ -9,7 +9,7 @@
 from collections import OrderedDict
 from collections.abc import Callable, Sequence
 
-from calicofall.proxy.client_connection import ClientConnection, PendingReply
+from calicofall.proxy.client_connection import NO_PARTIAL_COMMAND, ClientConnection, PendingReply
 from calicofall.proxy.command_memory import CommandMemory
 
 FIRST_BYTE_TIMEOUT_S = 2.3
@@ -96,10 +96,7 @@
     def update_partial_command(self, client: ClientConnection, has_partial: bool) -> None:
         """Updates whether a client has sent an incomplete command, and bounds the memory of short ones."""
         former_short, former_reserved = client.partial_bytes
-        long_value_bytes = client.parser.long_value_bytes if has_partial else 0
-        memory_bytes = len(client.input.memory) if has_partial else 0
-        is_long = has_partial and client.parser.is_reading_long_value
-        client.partial_bytes = (0, memory_bytes + long_value_bytes) if is_long else (memory_bytes, 0)
+        client.partial_bytes = client.measure_partial_command() if has_partial else NO_PARTIAL_COMMAND
         if has_partial:
             client.partial_progress_at = self.loop.time()
             self.partial_commands.setdefault(client, client.partial_progress_at)
--- a/tests/test_command_memory.py
+++ b/tests/test_command_memory.py
@@ -183,6 +183,27 @@
     assert client.transport.sent == b"$6\r\nstored\r\n"
 
 
+def test_value_larger_than_all_memory_for_commands_is_read_after_it_has_waited() -> None:
+    """Guards against a large value that never fits, as those that wait count as being read."""
+    harness = memory_harness()
+    holder, large, other = (
+        WritingClient(harness, 1),
+        WritingClient(harness, 2, 4 << 20),
+        WritingClient(harness, 3),
+    )
+    for client in (holder, large, other):
+        client.write()
+    harness.loop.advance(0.1)
+    for client in (holder, large, other):
+        client.write_all()
+        answer_all(harness)
+        harness.loop.advance(0.01)
+        client.write_all()
+        answer_all(harness)
+        harness.loop.advance(0.01)
+        assert client.transport.sent == b"$6\r\nstored\r\n"
+
+
 def test_waiting_commands_are_read_when_the_limit_is_raised() -> None:
     """Guards against a wait that outlasts the second process with which the memory was shared."""
     harness = memory_harness()
