--- a/calicofall/proxy/upstream_connection.py
+++ b/calicofall/proxy/upstream_connection.py
@@ -52,6 +52,9 @@
         self.settled_at = 0.0  # until when a second copy of the last reply may arrive (s, the loop's clock)
         # Of the last reply; None if that was an error or a long value.
         self.last_fingerprint: int | None = None
+        # Whether the command was written while a second copy of the last reply could still arrive. The copy
+        # may be read much later, after the process was held up.
+        self.compares_reply = False
         self.streams_reply = False  # whether the reply that is being received is a long value
         # Whether a second copy was discarded while the command waited for its reply.
         self.copy_discarded = False
@@ -171,10 +174,7 @@
 
     def is_second_copy(self, value: Any) -> bool:
         """Whether a reply is, or may be, a second copy of the last one."""
-        may_arrive = self.loop.time() < self.settled_at
-        return (
-            may_arrive and self.last_fingerprint is not None and fingerprint(value) == self.last_fingerprint
-        )
+        return self.compares_reply and fingerprint(value) == self.last_fingerprint
 
     def _remember_reply(self, value: Any) -> None:
         last_fingerprint = self.last_fingerprint
@@ -277,6 +277,7 @@
         chunks = command.render(left_s * 1000.0)
         command.end_offset = self.queued_bytes + sum(map(len, chunks))
         self.unsent_end_offset = command.end_offset
+        self.compares_reply = self.last_fingerprint is not None and self.loop.time() < self.settled_at
         for chunk in chunks:
             self.write(chunk)
 
--- a/tests/test_reply_matching.py
+++ b/tests/test_reply_matching.py
@@ -372,6 +372,19 @@
     assert model.harness.proxy.metrics.attempts_sent == 1
 
 
+def test_second_copy_that_is_read_after_the_process_was_held_up_is_not_the_next_reply() -> None:
+    """Guards against a second copy that lay unread until after the time in which copies arrive."""
+    model, cache = answered_model(replies_are_distinct=True)
+    model.send(1, "order", 900, 1)
+    model.harness.loop.clock += 0.15
+    cache.deliver_copy()
+    model.check()
+    assert model.harness.proxy.metrics.second_copies == 1
+    model.open_caches()[0].answer()
+    model.check()
+    assert model.request_ids[1] is None
+
+
 @pytest.mark.parametrize("load_report", [b"$5\r\nbusy=\r\n", b"?"])
 def test_second_copy_with_another_load_report_is_not_the_reply_to_the_next_command(
     load_report: bytes,
