--- a/tests/test_stage.py
+++ b/tests/test_stage.py
@@ -692,9 +692,9 @@
 def test_a_proxy_that_ignores_its_lease_is_found(tmp_path: Path) -> None:
     os.environ["PYTHONPATH"] = str(FAULTY_PROXY_SCRIPT.parent.parent)
     command = [sys.executable, str(FAULTY_PROXY_SCRIPT), "ignores_its_lease", "serve"]
-    # Without the cut from before the publication at 8.2 s on, the version forbidding zone a lies unread at the
-    # stopped proxy. It is read on resuming if the process was stopped outside of its poll for input; otherwise
-    # timers run first, and the silent watch is closed unread.
+    # Without the cut from before the publication at 8.2 s on, the version that forbids zone a lies unread at
+    # the stopped proxy. It is read on resuming if the process was stopped outside of its poll for input;
+    # otherwise timers run first, and the silent watch is closed unread.
     cut = {"at": 8.1, "until": 18.0, "do": "cut", "who": "p3", "to": "proxies,list"}
     plan = AGREEMENT_SCENARIO | {"seconds": 19.0, "event": [*AGREEMENT_SCENARIO["event"], cut]}
     plan = scenario.parse_scenario(plan, "agreeing")
