A reply that recurs is not taken for a second copy of the one before

What callers saw: in a deployment whose replies mostly differ, with some constant receipts or values read often, a served order ended as -ERR (outcome unknown) if its receipt equalled the one before on its connection within 80 ms, again and again.

Cause: after twelve replies in a row that differ, any equal reply was discarded as a copy. Equal ones reset the count, but twelve distinct replies later the next pair lost its second again.

Change: the last 1,024 replies of the process are remembered; after one of them has come again the connection rests for the time in which copies arrive, and its next reply is not compared. A copy never enters this memory, since copies are discarded or close the connection.

Evidence: test_receipts_that_recur_among_distinct_replies_are_not_taken_for_second_copies had 20 of 320 orders end as -ERR before, at most the first one now.

--- a/calicofall/proxy/upstream_connection.py
+++ b/calicofall/proxy/upstream_connection.py
@@ -6,9 +6,9 @@
 
 Invariants: a connection has one command at most, and closes if that is given up after a part of it was
 written; while a second copy of the last reply may arrive, a command is written only if replies tell requests
-apart, and a reply that equals the last one is discarded; input that arrives before a command's last byte was
-sent is not its reply; a command is reported as not run only if its last byte has not been sent, which means:
-not passed to the transport.
+apart and the last one does not recur, and a reply that equals the last one is discarded; input that arrives
+before a command's last byte was sent is not its reply; a command is reported as not run only if its last byte
+has not been sent, which means: not passed to the transport.
 """
 
 import asyncio
@@ -52,6 +52,7 @@
         self.settled_at = 0.0  # until when a second copy of the last reply may arrive (s, the loop's clock)
         # Of the last reply; None if that was an error or a long value.
         self.last_fingerprint: int | None = None
+        self.last_reply_recurs = False  # whether other requests have had the last reply, too
         # Whether the command was written while a second copy of the last reply could still arrive. The copy
         # may be read much later, after the process was held up.
         self.compares_reply = False
@@ -170,17 +171,22 @@
         """Whether the reply to a next command can be told from a second copy of the last reply."""
         if self.settled_at <= now:
             return True
-        return self.last_fingerprint is not None and self.pool.upstreams.reply_distinctness.is_reliable
+        if self.last_fingerprint is None or self.last_reply_recurs:
+            return False
+        return self.pool.upstreams.reply_distinctness.is_reliable
 
     def is_second_copy(self, value: Any) -> bool:
         """Whether a reply is, or may be, a second copy of the last one."""
         return self.compares_reply and fingerprint(value) == self.last_fingerprint
 
     def _remember_reply(self, value: Any) -> None:
+        distinctness = self.pool.upstreams.reply_distinctness
         last_fingerprint = self.last_fingerprint
         self.last_fingerprint = None if self.streams_reply else fingerprint(value)
-        if last_fingerprint is not None and self.last_fingerprint is not None:
-            self.pool.upstreams.reply_distinctness.add(self.last_fingerprint != last_fingerprint)
+        if self.last_fingerprint is not None:
+            self.last_reply_recurs = distinctness.remember(self.last_fingerprint)
+            if last_fingerprint is not None:
+                distinctness.add(self.last_fingerprint != last_fingerprint)
         self.settled_at = self.loop.time() + REPLY_SETTLE_S
         self.streams_reply = False
         self.copy_discarded = False
--- a/tests/test_reply_matching.py
+++ b/tests/test_reply_matching.py
@@ -439,6 +439,30 @@
     assert len(model.harness.loop.connect_requests) == 2
 
 
+def test_receipts_that_recur_among_distinct_replies_are_not_taken_for_second_copies() -> None:
+    """Guards against an order that is served, and ends as failed since its receipt equals the one before."""
+    model = ReplyModel(1, 1)
+    client = model.clients[0]
+    answers = []
+    for number in range(20 * (MIN_DISTINCT_REPLIES + 4)):
+        is_receipt = number % (MIN_DISTINCT_REPLIES + 4) >= MIN_DISTINCT_REPLIES + 2
+        client.feed(encode_request("order", remaining_ms="300"))
+        model.open_connections()
+        if not model.open_caches()[0].unanswered:  # the connection rests
+            model.harness.loop.advance(REPLY_SETTLE_S)
+        (cache,) = model.open_caches()
+        cache.unanswered.clear()
+        cache.reply(encode_reply(b"stored" if is_receipt else b"%d" % number))
+        model.harness.loop.advance()
+        answers.append(client.take())
+        if not answers[-1]:
+            model.harness.loop.advance(0.301)
+            answers[-1] = client.take()
+    # The first receipt is not known to recur.
+    assert sum(answer.startswith(b"-ERR") for answer in answers) <= 1
+    assert sum(answer.startswith(b"$") for answer in answers) >= len(answers) - 1
+
+
 def test_connection_is_not_used_again_at_once_after_an_error() -> None:
     """Guards against a second copy of -BUSY that passes for the proof that an order never ran."""
     model = ReplyModel(1, 1, True)
