SIGHUP to another agent moves the watch on settings documents, too

Cause: Proxy.on_sighup changed the address of the list's watch alone.

Change: ConfigurationSync.change_address moves the watch on documents. It asks for those after the version that it has: documents' versions are the fleet's, other than the list's, which are an agent's own.

Evidence: test_sighup_moves_the_settings_watch_and_later_versions_come_from_there fails before (the old watch stays open) and passes now.

--- a/calicofall/proxy/configuration_sync.py
+++ b/calicofall/proxy/configuration_sync.py
@@ -39,6 +39,7 @@
 
     path = "/api/settings"
     subject = "settings"
+    versions_differ_by_service = False  # they are the fleet's
 
     def on_message(self, line: bytes) -> None:
         """Passes on one document."""
@@ -125,6 +126,10 @@
         self.watch.start()
         self.wake()
 
+    def change_address(self, address: str) -> None:
+        """Moves the watch to another source of the same documents, as host:port."""
+        self.watch.change_address(address)
+
     def wake(self) -> None:
         """Sends the agreement's messages, evaluates the canary, and schedules the next round."""
         if self.timer is not None:
--- a/calicofall/proxy/discovery.py
+++ b/calicofall/proxy/discovery.py
@@ -39,6 +39,7 @@
 
     path = "/api/targets"
     subject = "list"  # what is watched, as log events name it
+    versions_differ_by_service = True  # whether another service's versions are not comparable
 
     def __init__(  # noqa: PLR0913 - passed once, by the server
         self,
@@ -200,7 +201,7 @@
             self.attempt_at(self.schedule.first_attempt_at(self.loop.time(), behind_fraction))
 
     def change_address(self, address: str) -> None:
-        """Moves the watch to another service, and requests the whole list, since versions differ by service.
+        """Moves the watch to another service, and requests the whole list if versions differ by service.
 
         The present list is kept until the new one is received.
         """
@@ -208,7 +209,8 @@
             return
         self.parsed_address = parse_address(address)
         self.address = address
-        self.version = None
+        if self.versions_differ_by_service:
+            self.version = None
         self.schedule.reset_backoff()
         watch = self.watch
         self.watch = None
--- a/calicofall/proxy/server.py
+++ b/calicofall/proxy/server.py
@@ -1019,6 +1019,8 @@
             if node.get(name) != self.node.get(name)
         ]
         self.discovery.change_address(node["discovery"])
+        if self.configuration_sync is not None:
+            self.configuration_sync.change_address(node["discovery"])
         if self.note_recorder is not None:
             self.note_recorder.note("reload", discovery=node["discovery"], held=needs_restart)
         log.info(
--- a/tests/test_versions.py
+++ b/tests/test_versions.py
@@ -1,9 +1,18 @@
 """Settings versions at one proxy: applied without a restart, under a lease checked before each send."""
 
+import json
 from typing import Any
 
 import pytest
-from helpers import SETTINGS, FakeTransport, ProxyHarness, encode_reply, encode_request, endpoint
+from helpers import (
+    CHUNKED_RESPONSE_HEAD,
+    SETTINGS,
+    FakeTransport,
+    ProxyHarness,
+    encode_reply,
+    encode_request,
+    endpoint,
+)
 
 from calicofall.fleet import settings_document
 from calicofall.fleet.configuration_agreement import AgreementMessage
@@ -93,6 +102,27 @@
         return client, client.take()
 
 
+def test_sighup_moves_the_settings_watch_and_later_versions_come_from_there() -> None:
+    """Guards against a watch that stays at an agent that is gone: the next version took all leases."""
+    harness = SettingsSyncHarness().advance(4.0)
+    harness.configuration_sync.watch.stopped = False
+    harness.configuration_sync.watch.start()
+    old_watch = harness.connect_upstream()
+    harness.proxy.on_sighup(lambda: harness.proxy.node | {"discovery": "10.2.0.9:8500"})
+    assert not old_watch.open
+    requests = [
+        (FakeTransport(connection), address) for connection, address in harness.loop.connect_requests[-2:]
+    ]
+    assert {address for _, address in requests} == {("10.2.0.9", 8500)}
+    (new_watch,) = [transport for transport, _ in requests if b"/api/settings" in transport.sent]
+    assert b"since=1 " in new_watch.sent  # versions are the fleet's
+    line = json.dumps(make_document(2, 3)).encode() + b"\n"
+    new_watch.feed(CHUNKED_RESPONSE_HEAD + b"%x\r\n%b\r\n" % (len(line), line))
+    assert sorted(harness.configuration_sync.documents) == [1, 2]
+    harness.proxy.on_sighup(lambda: harness.proxy.node | {"discovery": "10.2.0.9:8500"})
+    assert new_watch.open  # an unchanged address keeps its watch
+
+
 def test_new_incarnation_serves_only_promised_methods_until_its_version_is_confirmed() -> None:
     harness = SettingsSyncHarness().with_high_limits()
     client, received = harness.send_request("read")
