The time of pipelined commands counts from their arrival, also while they wait unread

Cause: a connection reads no further command while 16 replies are due, and a command's time counted from when it was read.

Change: HeldInput keeps up to where input had arrived when a connection stopped processing it, and when. What lies in the kernel's buffer when reading resumes (FIONREAD) counts from the pause on, since the kernel does not tell its arrival; that may take time away from a command that arrived later, never give it more. The wait is taken off as that for memory is; the longer of the two, as they may overlap.

--- a/calicofall/proxy/client_connection.py
+++ b/calicofall/proxy/client_connection.py
@@ -9,7 +9,7 @@
 from collections import deque
 from collections.abc import Callable
 from fcntl import ioctl
-from termios import TIOCOUTQ
+from termios import FIONREAD, TIOCOUTQ
 from typing import TYPE_CHECKING, Any
 
 from calicofall.proxy import resp
@@ -17,6 +17,7 @@
 from calicofall.proxy.command_memory import MAX_WAIT_FRACTION
 from calicofall.proxy.command_parser import CommandParser
 from calicofall.proxy.connection import BufferedConnection
+from calicofall.proxy.held_input import HeldInput
 
 if TYPE_CHECKING:
     from calicofall.proxy.clients import ClientConnections
@@ -50,7 +51,7 @@
     def __init__(self, client: "ClientConnection", command_bytes: int) -> None:
         self.client = client
         self.buffered_bytes = command_bytes  # memory of the command, and of the answer until it is written
-        self.waited_s = 0.0  # for memory, of the time that the request has from its last byte on
+        self.waited_s = 0.0  # until it was read, of the time that the request has from its last byte on
         self.answer: bytes | None = None
         self.active_request: Any = None  # the proxy's state of the request
         self.value_size = -1  # of a streamed value
@@ -92,6 +93,8 @@
         self.parser = CommandParser(self.input, asks_for_long_values=True)
         self.replies: deque[PendingReply] = deque()
         self.reading_paused = False
+        self.reading_paused_at = 0.0  # when reading was last paused (s, the loop's clock)
+        self.held_input = HeldInput()
         self.ignores_input = False  # after QUIT, or after an error that closes the connection
         self.consecutive_errors = 0
         # Memory of an incomplete command without a long value, and of one with a long value.
@@ -111,12 +114,10 @@
         if self.closed or self.closing:
             return
         must_pause = self.ignores_input or self._must_pause_reading()
+        if must_pause and len(self.input):
+            self.held_input.hold(self.received_bytes, self.loop.time())
         if must_pause != self.reading_paused:
-            self.reading_paused = must_pause
-            if must_pause:
-                self.transport.pause_reading()
-            else:
-                self.transport.resume_reading()
+            self._set_reading_paused(must_pause)
 
     def reject_further_input(self, reason: str) -> None:
         """Sends the client an error, reads no more input, and closes after the reply."""
@@ -175,14 +176,17 @@
 
         The transport's callbacks report a change of its buffer only in large steps.
         """
+        return self._kernel_bytes(TIOCOUTQ)
+
+    def _kernel_bytes(self, request: int) -> int:
         raw_socket = self.transport.get_extra_info("socket")
         if not raw_socket:
             return 0
         try:
-            unsent = ioctl(raw_socket.fileno(), TIOCOUTQ, bytes(4))
+            count = ioctl(raw_socket.fileno(), request, bytes(4))
         except OSError:
             return 0
-        return int.from_bytes(unsent, sys.byteorder)
+        return int.from_bytes(count, sys.byteorder)
 
     def measure_partial_command(self) -> tuple[int, int]:
         """Returns the memory of an incomplete command, by whether room is set aside for a long value of it.
@@ -247,6 +251,10 @@
                     continue
                 self.clients.update_partial_command(self, self.parser.has_partial_message())
                 return
+            if self.held_input:
+                end_offset = self.received_bytes - len(self.input)
+                held_s = self.held_input.take_wait_s(end_offset, self.loop.time())
+                self.waited_s = max(self.waited_s, held_s)
             # First, so that the command's memory passes from incomplete to complete without a gap.
             reply = self._add_reply(command_size(command))
             self.clients.update_partial_command(self, False)
@@ -271,6 +279,18 @@
         max_replies = MAX_PIPELINED_COMMANDS if memory.has_read_ahead() else 1
         return self.write_paused or self in memory.waiting or len(self.replies) >= max_replies
 
+    def _set_reading_paused(self, paused: bool) -> None:
+        """Pauses reading, or resumes it; what lies unread then may have arrived when reading was paused."""
+        self.reading_paused = paused
+        if paused:
+            self.reading_paused_at = self.loop.time()
+            self.transport.pause_reading()
+            return
+        unread_bytes = self._kernel_bytes(FIONREAD)
+        if unread_bytes:
+            self.held_input.hold(self.received_bytes + unread_bytes, self.reading_paused_at)
+        self.transport.resume_reading()
+
     def _add_reply(self, command_bytes: int) -> PendingReply:
         reply = PendingReply(self, command_bytes)
         self.replies.append(reply)
--- a/calicofall/proxy/connection.py
+++ b/calicofall/proxy/connection.py
@@ -49,6 +49,7 @@
         self.connect_task: asyncio.Task[None] | None = None
         self.linger_timer: asyncio.TimerHandle | None = None  # set when all output has been written
         self.discarded_bytes = 0
+        self.received_bytes = 0  # since the connection was created
         self.queued_bytes = 0  # written to this connection since it was created
         self.handed_over_bytes = 0  # of these, passed to the transport
 
@@ -69,6 +70,7 @@
     def buffer_updated(self, nbytes: int) -> None:
         """Input has been received; part of asyncio's protocol."""
         self.input.commit(nbytes)
+        self.received_bytes += nbytes
         if self.closing:
             self._discard_input(nbytes)
             return
--- a/calicofall/proxy/server.py
+++ b/calicofall/proxy/server.py
@@ -587,8 +587,8 @@
         self.active_client_ids.add(parts[2])
         now = self.now_ms()
         method = self.methods[fields["method"]]
-        # Its time counts from its last byte, which may have arrived while the proxy did not read for want of
-        # memory.
+        # Its time counts from its last byte, which may have arrived while the proxy did not read, for want of
+        # memory or since many replies were due.
         time_left_ms = min(fields["patience"], method["hard_deadline"]) - reply.waited_s * 1000.0
         expires_at = now + max(0.0, time_left_ms)
         # During a shutdown, a late request must not keep its connection open for the whole of its deadline.
