A request knows its present attempt also if the one before failed at once

Where the write itself ends the command, the next attempt is made within that call, and the ended command took its place: the attempt was not withdrawn when its client left or at a shutdown.

Provoked by a test that lets one write close its connection: the request's command was the finished first attempt while the second one was out. With one command per connection the queue cannot overflow as the report describes, but any failure inside a write has this effect.

Change: Upstreams.send sets the command before it sends it, and returns nothing.

Evidence: test_attempt_that_follows_one_that_failed_at_once_is_withdrawn_with_its_client fails before and passes now.

--- a/calicofall/proxy/server.py
+++ b/calicofall/proxy/server.py
@@ -667,7 +667,7 @@
                 not request.finished and now < request.expires_at, "nothing is sent for a finished request"
             )
             objective_left_ms = request.arrived_at + self.router.latency_objective(request) - now
-            active_request.command = self.upstreams.send(
+            self.upstreams.send(
                 endpoint,
                 active_request,
                 len(request.attempts) - 1,
--- a/calicofall/proxy/upstream.py
+++ b/calicofall/proxy/upstream.py
@@ -176,7 +176,7 @@
         now_ms: float,
         timeout_ms: float,
         objective_left_ms: float,
-    ) -> UpstreamCommand:
+    ) -> None:
         """Sends an attempt's command to an endpoint.
 
         If a connection could be opened only in a handshake slot that is too late, the outcome is "held": the
@@ -193,21 +193,22 @@
         """
         answer_due_at = self.loop.time() + max(0.0, timeout_ms) / 1000.0
         command = UpstreamCommand(active_request, attempt_index, render, now_ms, answer_due_at)
+        # Before the command is sent: if it fails at once, the next attempt is made within this call.
+        active_request.command = command
         command.timer = self.loop.call_at(answer_due_at, self.cancel_command, command, "timeout")
         pool = self.pools.get(name)
         if pool is None or not pool.accepts_requests or pool.address is None:
             self.loop.call_soon(self.finish, command, "unconnected")
-            return command
+            return
         if self.in_flight_quota is not None:
             if not self.in_flight_quota.try_begin(self.loop.time(), name):
                 self.loop.call_soon(self.finish, command, "held")
-                return command
+                return
             command.in_flight_endpoint = name
         quotas = self.connection_quotas
         if not pool.send(command, quotas.max_wait_s(min(objective_left_ms, timeout_ms) / 1000.0)):
             has_quota = quotas.handshakes_per_s is not None or quotas.max_connections is not None
             self.loop.call_soon(self.finish, command, "held" if has_quota else "unconnected")
-        return command
 
     def cancel_command(self, command: UpstreamCommand, outcome: str) -> None:
         """Cancels a command; one that was written in part or whole is cancelled by closing its connection."""
--- a/tests/test_reply_matching.py
+++ b/tests/test_reply_matching.py
@@ -16,7 +16,7 @@
 from calicofall.proxy.command_parser import CommandParser
 from calicofall.proxy.reply_distinctness import MIN_DISTINCT_REPLIES
 from calicofall.proxy.resp import INCOMPLETE
-from calicofall.proxy.upstream_connection import REPLY_SETTLE_S
+from calicofall.proxy.upstream_connection import REPLY_SETTLE_S, UpstreamConnection
 
 CLIENTS = 4
 MAX_COPY_DELAY_S = 0.06  # of a second copy after the reply
@@ -439,6 +439,37 @@
     assert len(model.harness.loop.connect_requests) == 2
 
 
+def test_attempt_that_follows_one_that_failed_at_once_is_withdrawn_with_its_client(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against an attempt that is not known to its request: it was left out when its client left."""
+    model = ReplyModel(caches=2, connections=2)
+    write = UpstreamConnection.write
+
+    def fail_once(connection: UpstreamConnection, data: bytes) -> None:
+        monkeypatch.setattr(UpstreamConnection, "write", write)
+        connection.abort()
+
+    for _ in range(2):  # so that there is a connection to each cache
+        model.send(0, "read", 900, 1)
+        model.open_connections()
+        for cache in model.open_caches():
+            if cache.unanswered:
+                cache.answer()
+        model.check()
+        model.advance(REPLY_SETTLE_S)
+    monkeypatch.setattr(UpstreamConnection, "write", fail_once)
+    model.send(0, "read", 900, 1)
+    model.open_connections()
+    (active_request,) = model.harness.proxy.active_requests.values()
+    assert len(active_request.request.attempts) == 2
+    assert active_request.command is not None
+    assert active_request.command.attempt_index == 1
+    model.disconnect(0)
+    model.open_connections()
+    assert not any(cache.unanswered for cache in model.open_caches())
+
+
 def test_receipts_that_recur_among_distinct_replies_are_not_taken_for_second_copies() -> None:
     """Guards against an order that is served, and ends as failed since its receipt equals the one before."""
     model = ReplyModel(1, 1)
