The fields of a client's request are a typed value

parse_request_fields returned a dict whose keys newcomers had to look up; RequestFields names and types them, with units. No change of behaviour. Measured: tests of proxy, net and memory pass.

--- a/calicofall/proxy/client_protocol.py
+++ b/calicofall/proxy/client_protocol.py
@@ -6,7 +6,7 @@
 import re
 from collections.abc import Mapping
 from math import ceil, isfinite
-from typing import Any
+from typing import Any, NamedTuple
 
 # The cache statuses in replies, which say how an endpoint got a value, and the names that the router uses.
 CACHE_STATUSES = {b"hit": "hit", b"miss": "fetched", b"pending": "fetching"}
@@ -19,13 +19,33 @@
 DECIMAL = re.compile(rb"[0-9]{1,9}(\.[0-9]{1,6})?")
 
 
+class RequestFields(NamedTuple):
+    """The fields of a client's request.
+
+    Attributes:
+        method: The method's name.
+        tenant: The tenant's name, if the request names one.
+        key: The key.
+        is_write: Whether the request writes a value.
+        patience_ms: How long the client waits for the answer.
+        is_repeat: Whether the client has sent the same request before.
+    """
+
+    method: str
+    tenant: str | None
+    key: int
+    is_write: bool
+    patience_ms: float
+    is_repeat: bool
+
+
 class InvalidRequestError(ValueError):
     """A command is not a valid request. The message is sent to the client and names the invalid field."""
 
 
 def parse_request_fields(
     parts: list[bytes], methods: Mapping[str, Mapping[str, Any]], tenants: set[str]
-) -> dict[str, Any]:
+) -> RequestFields:
     """Parses a client's request.
 
     Args:
@@ -34,10 +54,6 @@
         methods: The settings of methods by name.
         tenants: The configured tenants; empty where a request needs no tenant.
 
-    Returns:
-        The request's method, tenant, key, whether it is a write, its patience (how long the client waits, in
-        ms), and whether it is a repeat.
-
     Raises:
         InvalidRequestError: A field is missing or malformed, or its value is unknown.
     """
@@ -52,14 +68,14 @@
     tenant = values[b"t"].decode() if b"t" in values else None
     if tenants and tenant not in tenants:
         raise InvalidRequestError("unknown tenant")
-    return {
-        "method": method,
-        "tenant": tenant,
-        "key": int(parts[1], 16),
-        "write": parts[0] == b"C.SET",
-        "patience": _parse_patience(values),
-        "repeat": values.get(b"r") == b"1",
-    }
+    return RequestFields(
+        method=method,
+        tenant=tenant,
+        key=int(parts[1], 16),
+        is_write=parts[0] == b"C.SET",
+        patience_ms=_parse_patience(values),
+        is_repeat=values.get(b"r") == b"1",
+    )
 
 
 def parse_time_left_ms(parts: list[Any], methods: Mapping[str, Mapping[str, Any]]) -> float:
--- a/calicofall/proxy/server.py
+++ b/calicofall/proxy/server.py
@@ -580,16 +580,16 @@
         if self.configuration_sync is not None:
             self.configuration_sync.refresh_if_due()
         if self.quotas is not None:
-            self.quotas.count_request(fields["tenant"])
+            self.quotas.count_request(fields.tenant)
             self.quotas.refresh_if_due()
         if self.outliers is not None:
-            self.outliers.on_request(fields["key"])
+            self.outliers.on_request(fields.key)
         self.active_client_ids.add(parts[2])
         now = self.now_ms()
-        method = self.methods[fields["method"]]
+        method = self.methods[fields.method]
         # Its time counts from its last byte, which may have arrived while the proxy did not read, for want of
         # memory or since many replies were due.
-        time_left_ms = min(fields["patience"], method["hard_deadline"]) - reply.waited_s * 1000.0
+        time_left_ms = min(fields.patience_ms, method["hard_deadline"]) - reply.waited_s * 1000.0
         expires_at = now + max(0.0, time_left_ms)
         # During a shutdown, a late request must not keep its connection open for the whole of its deadline.
         expires_at = min(
@@ -597,13 +597,13 @@
         )
         request = Request(
             str(next(self.request_ids)),
-            fields["method"],
-            fields["tenant"],
-            fields["key"],
-            fields["write"],
+            fields.method,
+            fields.tenant,
+            fields.key,
+            fields.is_write,
             now,
             expires_at,
-            fields["repeat"],
+            fields.is_repeat,
         )
         reply.active_request = active_request = self.active_requests[request.id] = ActiveRequest(
             request, reply, parts
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -10,7 +10,7 @@
 from calicofall.config.endpoint_list import parse_endpoint_list
 from calicofall.proxy import resp
 from calicofall.proxy.buffers import MIN_CAPACITY_BYTES, RingBuffer
-from calicofall.proxy.client_protocol import build_forwarded_command, parse_request_fields
+from calicofall.proxy.client_protocol import RequestFields, build_forwarded_command, parse_request_fields
 from calicofall.proxy.command_parser import CommandParser
 from calicofall.proxy.discovery import SILENCE_TIMEOUT_S, Discovery
 from calicofall.proxy.server import LIST_WAIT_S, Proxy
@@ -125,14 +125,14 @@
 
 def test_a_command_is_parsed_into_request_fields() -> None:
     parts = [b"C.SET", b"7f3a9c21e0b4d655", b"9b1f", b"c=save,t=acme,d=480,k=5c0f,r=1,size=12", b"VALUE"]
-    assert parse_request_fields(parts, METHODS, TENANTS) == {
-        "method": "save",
-        "tenant": "acme",
-        "key": 0x7F3A9C21E0B4D655,
-        "write": True,
-        "patience": 480.0,
-        "repeat": True,
-    }
+    assert parse_request_fields(parts, METHODS, TENANTS) == RequestFields(
+        method="save",
+        tenant="acme",
+        key=0x7F3A9C21E0B4D655,
+        is_write=True,
+        patience_ms=480.0,
+        is_repeat=True,
+    )
     assert build_forwarded_command(parts, 99.2) == [
         *parts[:3],
         b"c=save,t=acme,d=100,k=5c0f,r=1,size=12",
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -872,8 +872,8 @@
         fields = parse_request_fields(
             [b"C.GET", b"%x" % key, b"1", pairs], router.policy.settings.methods, {"acme"}
         )
-        write, until = method == "save", now + fields["patience"]
-        request = Request(f"{number:016x}", method, "acme", fields["key"], write, now, until)
+        write, until = method == "save", now + fields.patience_ms
+        request = Request(f"{number:016x}", method, "acme", fields.key, write, now, until)
         record_decision(request, router.route(now, request))
         adapter.on_request(now, request.id, method, round(until * 1e6), 4 * write, "acme", None, None, key)
         for due in [due for due in in_flight if due[0] <= now]:
