--- a/tests/rogues.py
+++ b/tests/rogues.py
@@ -7,6 +7,7 @@
 import sys
 
 from calicofall.proxy import client_connection, discovery, server, upstream, upstream_connection
+from calicofall.proxy.active_request import ActiveRequest
 from calicofall.startup import connection_quotas, discovery_schedule, time_slots
 
 
@@ -65,8 +66,11 @@
     """Sends a second copy while the first is in flight: a non-retriable request has its effect twice."""
     send = upstream.Upstreams.send
 
-    def send_twice(self: upstream.Upstreams, name: str, *arguments: object) -> object:
-        command = send(self, name, *arguments)
+    def send_twice(
+        self: upstream.Upstreams, name: str, active_request: ActiveRequest, *arguments: object
+    ) -> None:
+        send(self, name, active_request, *arguments)
+        command = active_request.command
         pool = self.pools[name]
         other_pool = next((p for p in self.pools.values() if p is not pool and p.accepts_requests), None)
         if other_pool is not None:
@@ -81,7 +85,6 @@
             if (connection := other_pool.acquire(9.0)) is not None:
                 self.may_send = lambda command: True  # skips the check before the bytes are written
                 connection.send(copy)
-        return command
 
     upstream.Upstreams.send = send_twice
 
