--- a/calicofall/proxy/server.py
+++ b/calicofall/proxy/server.py
@@ -16,12 +16,9 @@
 import time
 from collections.abc import Callable
 from contextlib import suppress
-from itertools import count
 from random import Random
 from typing import Any
 
-from hdrh.histogram import HdrHistogram
-
 from calicofall.config.addresses import parse_address
 from calicofall.config.endpoint_list import parse_endpoint_list
 from calicofall.config.settings import (
@@ -36,11 +33,8 @@
 from calicofall.fleet.in_flight_quota import InFlightQuota
 from calicofall.fleet.rate_slots import OriginFetchSlots, RateSlots
 from calicofall.fleet.settings_document import PER_PROXY_SETTINGS
-from calicofall.invariants import check_invariant, violation_counts
-from calicofall.proxy import configuration_sync, resp
-from calicofall.proxy.active_request import ActiveRequest
-from calicofall.proxy.client_connection import PendingReply
-from calicofall.proxy.client_protocol import parse_request_fields, parse_time_left_ms
+from calicofall.invariants import violation_counts
+from calicofall.proxy import configuration_sync
 from calicofall.proxy.clients import ClientConnections
 from calicofall.proxy.command_memory import CommandMemory
 from calicofall.proxy.connection import Listener, check_address_available, open_connection
@@ -57,11 +51,11 @@
     ORIGIN_FETCH_SLOTS,
     QuotaEnforcement,
 )
+from calicofall.proxy.request_lifecycle import RequestLifecycle
 from calicofall.proxy.snapshot_store import SnapshotStore
-from calicofall.proxy.upstream import UpstreamCommand, Upstreams
+from calicofall.proxy.upstream import Upstreams
 from calicofall.recording import segment_writer
 from calicofall.routing.actions import CloseConnections
-from calicofall.routing.request import Request
 from calicofall.routing.router import Router
 from calicofall.startup import peer_messages, snapshot
 from calicofall.startup.connection_quotas import ConnectionQuotas
@@ -134,16 +128,10 @@
         # Identifies this incarnation, so that answers to a previous incarnation's messages can be ignored.
         has_peers = "gossip_address" in self.startup_settings
         self.incarnation = self.random_generator.getrandbits(48) if has_peers else 0
-        self.active_requests: dict[str, ActiveRequest] = {}
-        self.active_client_ids: set[bytes] = set()  # ids that clients gave to requests in flight
-        self.request_ids, self.upkeep_rounds = count(), 0
-        # Whether each request is logged, for testbed/loss_breakdown.py.
-        self.logs_requests = log.isEnabledFor(logging.DEBUG)
+        self.upkeep_rounds = 0
         self.logged_ejections: list[str] = []  # ejected endpoints, as last logged
         self.tick_timer: asyncio.Handle | None = None
         self.tick_due_at = float("inf")
-        # From 1 to 60 000 ms, with two significant digits.
-        self.latency_histograms = {name: HdrHistogram(1, 60_000, 2) for name in self.methods}
         self.listener: Listener | None = None
         self.stopped = loop.create_future()
         self.metrics = self._make_metrics()
@@ -154,6 +142,8 @@
         self.note_recorder = (
             self.recorder if self.recorder is not None and self.recorder.records_notes else None
         )
+        self.requests = RequestLifecycle(self)
+        self.active_requests = self.requests.active_requests
         self._make_connections(deployment["caps"])
         self.shutdown = GracefulShutdown(loop, self.clients, self.longest_deadline_s)
         self.management = ManagementServer(loop, self.handle_call)
@@ -247,22 +237,22 @@
             # handshakes at once after a start.
             self.proxy_count <= MAX_PROXIES_PRECONNECTING,
             self.connect,
-            self.find_sink,
-            self.on_streaming,
-            self.on_outcome,
+            self.requests.find_sink,
+            self.requests.on_streaming,
+            self.requests.on_outcome,
             self.metrics,
             self.connection_quotas,
             self.now_ms() / 1000.0 - self.loop.time(),
         )
-        self.upstreams.may_send = self.may_send
+        self.upstreams.may_send = self.requests.may_send
         self.clients = ClientConnections(
             self.loop,
             max_connections,
             CommandMemory(self.loop, read_ahead_bytes, self.metrics),
             self.longest_deadline_s(),
-            self.on_request,
-            self.find_time_left_s,
-            self.on_client_disconnected,
+            self.requests.on_request,
+            self.requests.find_time_left_s,
+            self.requests.on_client_disconnected,
         )
         self.clients.count_other_connections = self.upstreams.connection_count
         self.upstreams.shared_budget_has_capacity = self.clients.ensure_capacity
@@ -520,8 +510,7 @@
         deployment = normalize_settings(settings_on_sockets(settings)[0])
         self.methods = {method["name"]: method for method in deployment["methods"]}
         self.tenants = {tenant["name"] for tenant in deployment.get("tenants") or []}
-        for name in self.methods:
-            self.latency_histograms.setdefault(name, HdrHistogram(1, 60_000, 2))
+        self.requests.set_methods(self.methods, self.tenants)
         self.router.apply_settings(self.now_ms(), deployment)
         self.apply_pins(settings, deployment)
         self.schedule_tick()
@@ -550,292 +539,6 @@
             endpoint_rate_per_s and endpoint_rate_per_s / rate_divisor,
         )
 
-    def may_send(self, command: UpstreamCommand) -> bool:
-        """Returns whether a command may still be sent; called right before its first byte is written."""
-        if self.configuration_sync is not None:
-            self.configuration_sync.refresh_if_due()
-        active_request = command.active_request
-        if active_request.reply is not None:
-            active_request.reply.client.detect_disconnect()
-        return not active_request.request.finished and self.router.is_still_allowed(
-            self.now_ms(), active_request.request, command.attempt_index
-        )
-
-    # Requests
-
-    def find_time_left_s(self, parts: list[bytes]) -> float:
-        """Returns how long a request may take, from the parts of its command received so far (s)."""
-        return parse_time_left_ms(parts, self.methods) / 1000.0
-
-    def on_request(self, reply: PendingReply, parts: list[bytes]) -> None:
-        """Accepts a client's request, or rejects its command."""
-        try:
-            fields = parse_request_fields(parts, self.methods, self.tenants)
-            if parts[2] in self.active_client_ids:  # an endpoint would take it for the request in flight
-                raise ValueError("the id of an RPC in hand")
-        except ValueError as error:
-            reply.client.reject_command(reply, str(error))
-            return
-        reply.client.consecutive_errors = 0
-        if self.configuration_sync is not None:
-            self.configuration_sync.refresh_if_due()
-        if self.quotas is not None:
-            self.quotas.count_request(fields.tenant)
-            self.quotas.refresh_if_due()
-        if self.outliers is not None:
-            self.outliers.on_request(fields.key)
-        self.active_client_ids.add(parts[2])
-        now = self.now_ms()
-        method = self.methods[fields.method]
-        # Its time counts from its last byte, which may have arrived while the proxy did not read, for want of
-        # memory or since many replies were due.
-        time_left_ms = min(fields.patience_ms, method["hard_deadline"]) - reply.waited_s * 1000.0
-        expires_at = now + max(0.0, time_left_ms)
-        # During a shutdown, a late request must not keep its connection open for the whole of its deadline.
-        expires_at = min(
-            expires_at, max(now, self.shutdown.answers_due_at * 1000.0 + self.wall_clock_offset_ms)
-        )
-        request = Request(
-            str(next(self.request_ids)),
-            fields.method,
-            fields.tenant,
-            fields.key,
-            fields.is_write,
-            now,
-            expires_at,
-            fields.is_repeat,
-        )
-        reply.active_request = active_request = self.active_requests[request.id] = ActiveRequest(
-            request, reply, parts
-        )
-        if self.note_recorder is not None:
-            self.note_recorder.note(
-                "command",
-                id=parts[2].decode(),
-                rpc=request.id,
-                method=request.method,
-                key=request.key,
-                tenant=request.tenant,
-                patience=expires_at - now,
-            )
-        self.execute_decision(
-            now, active_request, self.call_router(active_request, self.router.route, now, request)
-        )
-        self.schedule_tick()
-
-    @staticmethod
-    def call_router(active_request: ActiveRequest, router_call: Callable, *arguments: Any) -> str | None:
-        """Calls the router; if it raises an exception, the request ends with the answer `errored`.
-
-        Args:
-            active_request: The request that the call is about.
-            router_call: The router's method.
-            arguments: Its arguments.
-
-        Returns:
-            The endpoint that the request is sent to now, if any.
-        """
-        try:
-            return router_call(*arguments)
-        except Exception as error:  # an error in a decision must not leave the request unanswered
-            log.exception(
-                "decision failed", extra={"reason": repr(error), "method": active_request.request.method}
-            )
-            active_request.request.finished, active_request.request.answer = True, "errored"
-            return None
-
-    def execute_decision(self, now: float, active_request: ActiveRequest, endpoint: str | None) -> None:
-        """Sends a request to the endpoint that was decided on, or answers the client if the request is over.
-
-        If there is neither an endpoint nor an answer, the request waits for its next decision.
-        """
-        request = active_request.request
-        # An attempt that is not made, because the endpoint is slow for large answers, is reported as
-        # withheld. The router then chooses again.
-        if endpoint is not None and self.outliers is not None and self.outliers.avoids(request):
-            endpoint = self.call_router(
-                active_request,
-                self.router.report_attempt,
-                now,
-                request,
-                len(request.attempts) - 1,
-                "held",
-                0.0,
-            )
-        if endpoint is not None:
-            check_invariant(
-                not request.finished and now < request.expires_at, "nothing is sent for a finished request"
-            )
-            objective_left_ms = request.arrived_at + self.router.latency_objective(request) - now
-            self.upstreams.send(
-                endpoint,
-                active_request,
-                len(request.attempts) - 1,
-                active_request.render,
-                now,
-                request.timeout_ms,
-                objective_left_ms,
-            )
-        elif request.answer == "exhausted":
-            retry_after_ms = round(request.retry_after_ms)
-            self.send_answer(
-                now,
-                active_request,
-                resp.encode_error(f"BUSY {retry_after_ms}" if retry_after_ms > 0 else "BUSY"),
-            )
-        elif request.answer == "errored":
-            self.send_answer(now, active_request, resp.encode_error("ERR errored"))
-
-    def send_answer(self, now: float, active_request: ActiveRequest, data: bytes) -> None:
-        """Sends the final answer of a request to its client."""
-        request, reply, active_request.reply = active_request.request, active_request.reply, None
-        check_invariant(reply is not None, "a request gets one answer")
-        self.remove_active_request(active_request)
-        if reply is not None:
-            self.metrics.count_answer(request.answer, request.name)
-            if request.answer == "completed" and "first RPC" not in self.phases.elapsed_ms_by_phase:
-                self.reach_phase("first RPC")
-            self.latency_histograms[request.name].record_value(
-                max(1, round((active_request.streaming_began_at or now) - request.arrived_at))
-            )
-            reply.complete(data)
-            if self.logs_requests:
-                self.log_request(now, active_request)
-            if self.note_recorder is not None:
-                self.note_recorder.note(
-                    "answer",
-                    rpc=request.id,
-                    answer=request.answer,
-                    ms=now - request.arrived_at,
-                    size=len(data),
-                )
-
-    def log_request(self, now: float, active_request: ActiveRequest) -> None:
-        """Logs a request's answer, attempts and cause of failure at DEBUG (see testbed/loss_breakdown.py)."""
-        request = active_request.request
-        attempts = [
-            f"{attempt.endpoint}:{attempt.outcome or 'out'}:{attempt.sent_at - request.arrived_at:.0f}"
-            for attempt in request.attempts
-        ]
-        log.debug(
-            "rpc",
-            extra={
-                "id": active_request.parts[2].decode(),
-                "method": request.name,
-                "answer": request.answer,
-                "ms": round((active_request.streaming_began_at or now) - request.arrived_at),
-                "soft": round(self.router.latency_objective(request)),
-                "sends": ",".join(attempts) or None,
-                "why": None if request.answer == "completed" else self.router.rejection_cause(now, request),
-                **self.router.limits_in_use(),
-            },
-        )
-
-    def find_sink(
-        self, command: UpstreamCommand, size: int, request_next_chunk: Callable[[], None]
-    ) -> PendingReply | None:
-        """Returns the reply to which a long answer is streamed; None if the client has disconnected.
-
-        Args:
-            command: The command that is answered.
-            size: The size of the value (bytes).
-            request_next_chunk: Requests the next part of the value from the endpoint's connection.
-        """
-        reply = command.active_request.reply
-        if reply is not None:
-            reply.start_streaming(size, request_next_chunk)
-        return reply
-
-    def on_streaming(self, command: UpstreamCommand) -> None:
-        """Reports that a part of an answer is about to be sent: the request gets no other attempt."""
-        active_request = command.active_request
-        active_request.streaming_began_at = self.now_ms()
-        self.call_router(
-            active_request,
-            self.router.on_response_started,
-            active_request.streaming_began_at,
-            active_request.request,
-            command.attempt_index,
-        )
-
-    def on_outcome(
-        self,
-        command: UpstreamCommand,
-        outcome: str,
-        answer: bytes,
-        cache_status: str | None,
-        load_report: Any,
-    ) -> None:
-        """Reports the end of an attempt to the router, then answers the request or tries it again.
-
-        Args:
-            command: The attempt's command.
-            outcome: How the attempt ended.
-            answer: The value; of a streamed value, the part that the client has not been sent yet.
-            cache_status: How the endpoint got the value, such as `hit`; None if unknown.
-            load_report: The endpoint's load report, if any.
-        """
-        now, active_request = self.now_ms(), command.active_request
-        request, reply, active_request.command = active_request.request, active_request.reply, None
-        already_finished = request.finished  # the client has disconnected: there is no reply to send
-        answer_started = command.streaming or (reply is not None and reply.head_sent)
-        if reply is not None and not answer_started:
-            reply.request_next_chunk = None
-        latency_ms = reported_latency_ms = (active_request.streaming_began_at or now) - command.sent_at_ms
-        endpoint = request.attempts[command.attempt_index].endpoint
-        # The router gets the latency with the allowance for large answers, the evidence the measured one.
-        if self.outliers is not None:
-            reported_latency_ms = self.outliers.fair_latency(endpoint, request.name, latency_ms, len(answer))
-        next_endpoint = self.call_router(
-            active_request,
-            self.router.report_attempt,
-            now,
-            request,
-            command.attempt_index,
-            outcome,
-            reported_latency_ms,
-            cache_status,
-            load_report,
-            answer_started,
-        )
-        if self.outliers is not None:
-            self.outliers.on_result(endpoint, request, outcome, latency_ms, len(answer))
-        if not already_finished and outcome == "completed":
-            self.send_answer(
-                now, active_request, answer + b"\r\n" if answer_started else resp.encode_bulk(answer)
-            )
-        elif not already_finished and answer_started:
-            # The client recognizes a truncated value by the closed connection.
-            request.answer, active_request.reply = "errored", None
-            self.metrics.count_answer(request.answer, request.name)
-            self.remove_active_request(active_request)
-            reply.abort()
-        elif not already_finished:
-            self.execute_decision(now, active_request, next_endpoint)
-        self.schedule_tick()
-
-    def remove_active_request(self, active_request: ActiveRequest) -> None:
-        """Removes a request that has been answered or whose client has disconnected."""
-        if self.active_requests.pop(active_request.request.id, None) is not None:
-            self.active_client_ids.discard(active_request.parts[2])
-
-    def on_client_disconnected(self, reply: PendingReply) -> None:
-        """Cancels the attempt that is in flight for a client that has disconnected."""
-        active_request = reply.active_request
-        if active_request is None or active_request.reply is None:
-            return
-        active_request.reply = None
-        self.remove_active_request(active_request)
-        cancelled_attempts, command = (
-            self.router.on_client_disconnected(self.now_ms(), active_request.request),
-            active_request.command,
-        )
-        # A command that waits for a connection is withdrawn even if endpoints do not support cancelling.
-        # Otherwise it would be sent after its client has disconnected.
-        if command is not None and (cancelled_attempts or command.can_be_withdrawn()):
-            self.upstreams.cancel_command(command, "cancelled")
-        self.schedule_tick()
-
     # Timers
 
     def schedule_tick(self) -> None:
@@ -850,12 +553,7 @@
         """Routes requests whose wait is over, writes the router's log lines, and executes its actions."""
         self.tick_timer, now = None, self.now_ms()
         while (request := self.router.next_due_request(now)) is not None:
-            active_request = self.active_requests.get(request.id)
-            check_invariant(active_request is not None, "a waiting request is an active request")
-            if active_request is not None:
-                self.execute_decision(
-                    now, active_request, self.call_router(active_request, self.router.route, now, request)
-                )
+            self.requests.route_again(now, request)
         wait_ms = self.router.tick(now)
         for log_line in self.router.log_lines:
             log.info("mode", extra={"what": log_line})
@@ -901,7 +599,7 @@
         # youngest were collected.
         self.upkeep_rounds += 1
         if (
-            self.logs_requests
+            self.requests.logs_requests
             and (ejected := self.router.ejected_endpoints(self.now_ms())) != self.logged_ejections
         ):
             self.logged_ejections = ejected
@@ -992,19 +690,7 @@
         await self.stopped
         self.upstreams.close()
         self.discovery.stop()
-        for method, histogram in self.latency_histograms.items():
-            if histogram.get_total_count():
-                log.info(
-                    "answer times",
-                    extra={
-                        "method": method,
-                        "count": histogram.get_total_count(),
-                        **{
-                            f"p{percentile}": histogram.get_value_at_percentile(percentile)
-                            for percentile in (50, 90, 99)
-                        },
-                    },
-                )
+        self.requests.log_latencies()
         log.info("stopped", extra=self.metrics.totals() | {"broken": dict(violation_counts) or None})
 
     def on_sighup(self, reread_configuration: Callable) -> None:
@@ -1134,10 +820,7 @@
 
     def expire_requests(self) -> None:
         """Expires all requests in flight, since the process is killed soon after its SIGTERM."""
-        for active_request in list(self.active_requests.values()):
-            active_request.request.expires_at = min(active_request.request.expires_at, self.now_ms())
-            if active_request.command is not None and not active_request.request.streaming:
-                self.upstreams.cancel_command(active_request.command, "timeout")
+        self.requests.expire_all()
         self.loop.call_later(STOP_DELAY_S, self.end)
 
     def end_when_idle(self) -> None:
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -570,7 +570,7 @@
     assert client.take() == b"$5\r\nfresh\r\n"
     other.feed(data)
     other.abort()
-    assert not harness.proxy.active_client_ids and not harness.proxy.active_requests
+    assert not harness.proxy.requests.active_client_ids and not harness.proxy.active_requests
 
 
 def test_listener_accepts_few_connections_per_iteration_and_pauses_without_descriptors() -> None:
