--- a/calicofall/proxy/server.py
+++ b/calicofall/proxy/server.py
@@ -32,7 +32,7 @@
 from calicofall.fleet.hot_keys import HotKeyDetector
 from calicofall.fleet.in_flight_quota import InFlightQuota
 from calicofall.fleet.rate_slots import OriginFetchSlots, RateSlots
-from calicofall.fleet.settings_document import PER_PROXY_SETTINGS
+from calicofall.fleet.settings_document import PER_PROXY_SETTINGS, SettingsDocument
 from calicofall.invariants import violation_counts
 from calicofall.proxy import configuration_sync
 from calicofall.proxy.clients import ClientConnections
@@ -43,6 +43,7 @@
 from calicofall.proxy.graceful_shutdown import REPLACED_IDLE_CLOSE_DELAY_S, GracefulShutdown
 from calicofall.proxy.management import ManagementServer
 from calicofall.proxy.metrics import Metrics
+from calicofall.proxy.operator_calls import OperatorCalls
 from calicofall.proxy.outlier_reports import OutlierReports
 from calicofall.proxy.process_lock import ProcessLock
 from calicofall.proxy.quota_enforcement import (
@@ -78,8 +79,6 @@
 # this proxy.
 ACCEPT_AFTER_SIGTERM_S = 0.5
 BLOCKED_SIGNALS = {signal.SIGHUP, signal.SIGTERM}  # blocked until their handlers are installed
-OK_PREFIX = "+OK"  # first characters of an operator call's successful reply
-ERROR_PREFIX = "-ERR"  # first characters of an operator call's error reply
 # The longest time that a starting proxy with a cached list waits for an answer or a refusal of the discovery
 # service. If the service is up, it answers within this time.
 LIST_WAIT_S = 2.0
@@ -100,7 +99,10 @@
     """
 
     def __init__(
-        self, node: dict, loop: asyncio.AbstractEventLoop, connect: Callable = open_connection
+        self,
+        node: dict[str, Any],
+        loop: asyncio.AbstractEventLoop,
+        connect: Callable[..., None] = open_connection,
     ) -> None:
         self.node, self.loop, self.connect = node, loop, connect
         # The difference of the wall clock and the loop's clock. With it, the times in endpoint lists and
@@ -146,6 +148,7 @@
         self.active_requests = self.requests.active_requests
         self._make_connections(deployment["caps"])
         self.shutdown = GracefulShutdown(loop, self.clients, self.longest_deadline_s)
+        self.operator_calls = OperatorCalls(self)
         self.management = ManagementServer(loop, self.handle_call)
         self.snapshot_store: SnapshotStore | None = None
         initial_list, learned_state = self._load_initial_state()
@@ -159,8 +162,8 @@
             _, index, entries, addresses = parse_endpoint_list(initial_list)
             self.apply_list("cached", index, entries, addresses)
             self.router.restore_learned_state(self.now_ms(), learned_state)
-        if document is not None:
-            self.configuration_sync = self._make_configuration_sync(document, own_settings)
+        if document is not None and self.gossip is not None:  # a document needs messages between proxies
+            self.configuration_sync = self._make_configuration_sync(document, own_settings, self.gossip)
 
     # Parts, each made once by the constructor
 
@@ -186,7 +189,7 @@
             self.random_generator,
         )
 
-    def _make_connection_quotas(self, rules: dict) -> ConnectionQuotas:
+    def _make_connection_quotas(self, rules: dict[str, Any]) -> ConnectionQuotas:
         leases_slots = "quota_lease_s" in self.startup_settings
         return ConnectionQuotas(
             self.proxy_number,
@@ -198,7 +201,7 @@
             self._make_rate_slots(HANDSHAKE_SLOTS) if leases_slots else None,
         )
 
-    def _make_router(self, deployment: dict, seed: int) -> Router:
+    def _make_router(self, deployment: dict[str, Any], seed: int) -> Router:
         """Creates the router, and the recorder if decisions are recorded."""
         # `bears`, a setting that the proxy adds: its share of the requests per ms that a warm endpoint of
         # weight 1 serves.
@@ -211,7 +214,7 @@
             self.recorder = Recorder(
                 self.loop, record_settings, self.node["name"], f"{time.time_ns():x}", time.time
             )
-            router = self.recorder.make_router(
+            router: Router = self.recorder.make_router(
                 deployment, seed, self.now_ms(), has_origin_slots, self.wall_clock_offset_ms
             )
         else:
@@ -226,7 +229,7 @@
             )
         return router
 
-    def _make_connections(self, caps: dict) -> None:
+    def _make_connections(self, caps: dict[str, Any]) -> None:
         """Creates the connections to endpoints and to clients, which share one budget of descriptors."""
         max_connections, max_upstream_connections, read_ahead_bytes = self.connection_budget(1)
         self.upstreams = Upstreams(
@@ -262,9 +265,9 @@
                 max_in_flight / self.proxy_count, self.random_generator
             )
 
-    def _load_initial_state(self) -> tuple[dict, dict]:
+    def _load_initial_state(self) -> tuple[dict[str, Any], dict[str, Any]]:
         """Returns the initial list and learned state, from the snapshot if there is one."""
-        initial_state: tuple[dict, dict] = (self.node.get("known") or {}, {})
+        initial_state: tuple[dict[str, Any], dict[str, Any]] = (self.node.get("known") or {}, {})
         if "snapshot_folder" not in self.startup_settings:
             return initial_state
         self.snapshot_store = SnapshotStore(
@@ -276,7 +279,7 @@
         )
         return initial_state if loaded is None else loaded
 
-    def _make_discovery(self, initial_version: int | None, rules: dict) -> Discovery:
+    def _make_discovery(self, initial_version: int | None, rules: dict[str, Any]) -> Discovery:
         list_watches_per_s = self.startup_settings.get("list_watches_per_s")
         time_slots = None
         if list_watches_per_s:
@@ -312,7 +315,7 @@
         contention = ContentionEstimate(
             self.proxy_number,
             self.proxy_count,
-            self.startup_settings.get("list_watches_per_s"),
+            self.startup_settings["list_watches_per_s"],
             self.random_generator,
         )
         gossip = GossipTransport(
@@ -327,11 +330,12 @@
         gossip.reopen_watch = self.discovery.reopen
         return gossip
 
-    def _make_quotas(self, rules: dict) -> QuotaEnforcement | None:
+    def _make_quotas(self, rules: dict[str, Any]) -> QuotaEnforcement | None:
         """Creates the leases of limits that proxies lend each other, if the node file names their length."""
-        if "quota_lease_s" not in self.startup_settings:
+        gossip = self.gossip
+        if gossip is None or "quota_lease_s" not in self.startup_settings:
             return None
-        leased_slots = {}
+        leased_slots: dict[str, tuple[RateSlots, Callable[[float], float]]] = {}
         if self.connection_quotas.handshakes_per_s:
             leased_slots[HANDSHAKE_SLOTS] = (
                 self.connection_quotas.rate_slots,
@@ -352,20 +356,21 @@
             self.startup_settings.get("endpoint_capacity_per_s"),
             rules,
             lambda: len(self.upstreams.endpoint_names),
-            self.gossip.send,
-            self.gossip.membership.alive_members,
+            gossip.send,
+            gossip.membership.alive_members,
             self.apply_quota_shares,
             leased_slots,
             self.upstreams.in_flight_quota,
             self.startup_settings.get("max_in_flight", 0.0),
             self.longest_deadline_s(),
         )
-        self.gossip.on_quota_lease = quotas.on_message
+        gossip.on_quota_lease = quotas.on_message
         return quotas
 
     def _make_outliers(self, zone: str) -> OutlierReports | None:
         """Creates the exchange of evidence on endpoints, if the node file asks for it."""
-        if not self.startup_settings.get("shares_evidence"):
+        gossip = self.gossip
+        if gossip is None or not self.startup_settings.get("shares_evidence"):
             return None
         outliers = OutlierReports(
             self.loop,
@@ -375,12 +380,12 @@
             self.random_generator,
             self.router,
             lambda: self.upstreams.endpoint_names,
-            self.gossip.send,
-            self.gossip.membership.alive_members,
+            gossip.send,
+            gossip.membership.alive_members,
             self.now_ms,
             self._make_hot_key_detector(),
         )
-        self.gossip.on_evidence = outliers.on_message
+        gossip.on_evidence = outliers.on_message
         return outliers
 
     def _make_hot_key_detector(self) -> HotKeyDetector | None:
@@ -398,23 +403,23 @@
         )
 
     def _make_configuration_sync(
-        self, document: Any, own_settings: dict
+        self, document: SettingsDocument, own_settings: dict[str, Any], gossip: GossipTransport
     ) -> configuration_sync.ConfigurationSync:
         sync = configuration_sync.ConfigurationSync(
             self.loop,
             self.connect,
             self.node["discovery"],
             self.proxy_number,
-            self.gossip.incarnation,
+            gossip.incarnation,
             own_settings,
             document,
             self.random_generator,
-            self.gossip.send,
+            gossip.send,
             self.apply_settings,
-            self.gossip.membership.set_members,
+            gossip.membership.set_members,
             self.metrics.finished_by_method,
         )
-        self.gossip.on_agreement = sync.on_message
+        gossip.on_agreement = sync.on_message
         return sync
 
     def connection_budget(self, process_count: int) -> tuple[int, int, int]:
@@ -481,14 +486,14 @@
     # Endpoint list
 
     def on_list_event(
-        self, kind: str, index: int | None, entries: list[tuple], addresses: dict[str, str]
+        self, kind: str, index: int | None, entries: list[tuple[Any, ...]], addresses: dict[str, str]
     ) -> None:
         """Applies a list or a change of the list that discovery has received."""
         self.apply_list(kind, index, entries, addresses)
         self.schedule_tick()
 
     def apply_list(
-        self, kind: str, index: int | None, entries: list[tuple], addresses: dict[str, str]
+        self, kind: str, index: int | None, entries: list[tuple[Any, ...]], addresses: dict[str, str]
     ) -> None:
         """Passes a list to the router, the upstream connections and the list digests sent to peers."""
         # The router comes first, so that requests withdrawn from a removed endpoint are sent elsewhere.
@@ -505,7 +510,7 @@
 
     # Settings
 
-    def apply_settings(self, settings: dict) -> None:
+    def apply_settings(self, settings: dict[str, Any]) -> None:
         """Replaces all settings; they apply from the next request on."""
         deployment = normalize_settings(settings_on_sockets(settings)[0])
         self.methods = {method["name"]: method for method in deployment["methods"]}
@@ -515,7 +520,7 @@
         self.apply_pins(settings, deployment)
         self.schedule_tick()
 
-    def apply_pins(self, settings: dict, deployment: dict) -> None:
+    def apply_pins(self, settings: dict[str, Any], deployment: dict[str, Any]) -> None:
         """Applies the settings' fleet-wide limits, and which limits and endpoints operators have pinned."""
         pins = settings.get("pins") or {}
         if self.quotas is not None:
@@ -608,7 +613,7 @@
 
     # Startup, signals and errors
 
-    async def serve(self, reread_configuration: Callable) -> None:
+    async def serve(self, reread_configuration: Callable[[], dict[str, Any]]) -> None:
         """Runs the proxy until it is terminated.
 
         Args:
@@ -623,7 +628,8 @@
         self.process_lock = ProcessLock(f"{self.node['name']}-{self.node['listen']}", tempfile.gettempdir())
         # Before the listener opens no request has been accepted, so SIGTERM ends the process at once.
         task = asyncio.current_task()
-        self.loop.add_signal_handler(signal.SIGTERM, task.cancel)
+        if task is not None:
+            self.loop.add_signal_handler(signal.SIGTERM, task.cancel)
         signal.pthread_sigmask(signal.SIG_UNBLOCK, BLOCKED_SIGNALS)  # delivers signals that are pending
         try:
             await self.run()
@@ -675,7 +681,8 @@
             self.clients.awaits_release,
             shared=True,
         )
-        self.process_lock.mark_serving()
+        if self.process_lock is not None:
+            self.process_lock.mark_serving()
         self.reach_phase("door open")
         self.loop.add_signal_handler(signal.SIGTERM, self.terminate)
         self.loop.add_signal_handler(signal.SIGINT, self.terminate)
@@ -693,7 +700,7 @@
         self.requests.log_latencies()
         log.info("stopped", extra=self.metrics.totals() | {"broken": dict(violation_counts) or None})
 
-    def on_sighup(self, reread_configuration: Callable) -> None:
+    def on_sighup(self, reread_configuration: Callable[[], dict[str, Any]]) -> None:
         """Handles SIGHUP: applies the discovery address of the file, and logs which fields need a restart."""
         try:
             node = reread_configuration()
@@ -715,7 +722,7 @@
             extra={"discovery": node["discovery"], "until_restart": ",".join(needs_restart) or None},
         )
 
-    def on_loop_error(self, loop: asyncio.AbstractEventLoop, context: dict) -> None:
+    def on_loop_error(self, loop: asyncio.AbstractEventLoop, context: dict[str, Any]) -> None:
         """Logs an exception that no component caught; with a traceback unless it is an OSError."""
         exception = context.get("exception")
         logged_exception = (
@@ -727,57 +734,11 @@
             exc_info=logged_exception,
         )
 
-    # Operator calls
+    # State
 
     def handle_call(self, call: str) -> str:
         """Executes an operator's call and returns the reply."""
-        lines = self._status_lines(call)
-        if lines is not None:
-            return "\n".join([OK_PREFIX, *lines, "."])
-        if call == "health":
-            return f"{OK_PREFIX if self.serving() else ERROR_PREFIX} {self.state()}"
-        if call == "record" and self.recorder is not None:
-            return f"{OK_PREFIX} saved in {self.recorder.save()}"
-        if call == "quiesce":
-            return self._quiesce()
-        if call == "resume":
-            return self._resume()
-        return f"{ERROR_PREFIX} unknown call: health, counters, phases, quiesce or resume"
-
-    def _status_lines(self, call: str) -> list[str] | None:
-        """Returns the lines of a status call; None for other calls, or if its component is not configured."""
-        sources: dict[str, Callable[[], list[str]]] = {
-            "counters": self.metrics.format_lines,
-            "phases": self.phases.format_lines,
-        }
-        if self.gossip is not None:
-            membership = self.gossip.membership
-            sources["lists"] = self.gossip.format_lines
-            sources["members"] = lambda: membership.format_lines(self.loop.time())
-        if self.quotas is not None:
-            sources["limits"] = self.quotas.format_lines
-        if self.outliers is not None:
-            sources["verdicts"] = self.outliers.format_lines
-        if self.configuration_sync is not None:
-            sources["versions"] = self.configuration_sync.format_lines
-        if self.recorder is not None:
-            sources["recorded"] = self.recorder.format_lines
-        source = sources.get(call)
-        return None if source is None else source()
-
-    def _quiesce(self) -> str:
-        if self.listener is None:
-            return f"{ERROR_PREFIX} {self.state()}"
-        if self.shutdown.began_at is None:
-            self.log_event("emptying")
-        self.shutdown.begin()
-        return f"{OK_PREFIX} emptying"
-
-    def _resume(self) -> str:
-        if not self.shutdown.cancel():
-            return f"{ERROR_PREFIX} terminating"
-        self.log_event("resumed")
-        return f"{OK_PREFIX} {self.state()}"
+        return self.operator_calls.handle(call)
 
     def serving(self) -> bool:
         """Returns whether the proxy accepts clients and no shutdown is under way."""
@@ -815,7 +776,8 @@
 
     def stop_listening(self) -> None:
         """Closes the listener; the proxy stops after its last connection has closed."""
-        self.listener.close()
+        if self.listener is not None:
+            self.listener.close()
         self.end_when_idle()
 
     def expire_requests(self) -> None:
