Stopped proxies of the twelve-process scenario are woken two by two

Change: two are woken at 4.0 s as before, two at 4.5 s, so that each has a core. The same proxies are stopped at the same time, none for less than before; bounds and checks are as they were.

--- a/tests/test_stage.py
+++ b/tests/test_stage.py
@@ -965,7 +965,10 @@
             "traffic": {"per_s": 60.0},
             "event": [
                 {"at": 0.0, "until": 5.0, "do": "cut", "who": "half", "to": "list", "way": "back"},
-                {"at": 1.0, "until": 4.0, "do": "stop", "who": "third"},
+                # Stopped in the middle of their start, they need a core for some tenths of a second each when
+                # they are woken: two by two, so that they don't wait for one.
+                {"at": 1.0, "until": 4.0, "do": "stop", "who": "p0,p3"},
+                {"at": 1.0, "until": 4.5, "do": "stop", "who": "p6,p9"},
                 {"at": 7.0, "do": "drain", "who": "c1"},
                 {"at": 8.0, "do": "restart", "who": "p1,p2"},
                 {"at": 9.0, "until": 11.0, "do": "cut", "who": "zone:a", "to": "zone:b"},
