--- a/calicofall/testbed/clients.py
+++ b/calicofall/testbed/clients.py
@@ -290,9 +290,9 @@
                 _, connection = await self.loop.create_connection(
                     lambda: ClientConnection(self, proxy), *self.proxy_addresses[proxy]
                 )
-            return connection
         except (OSError, TimeoutError):
             return None
+        return connection
 
     async def attempt(
         self,
--- a/calicofall/testbed/runner.py
+++ b/calicofall/testbed/runner.py
@@ -35,10 +35,14 @@
 from calicofall.testbed.network_faults import LinkFault, LinkFaults
 from calicofall.testbed.scenario import CLOCK_DRIFT, MAX_PAUSE_S, ZONE_NAMES, Scenario, expand_group
 from calicofall.testbed.server_models import CacheModel, DiscoveryModel, OriginModel
+from calicofall.testbed.service_events import ServiceEvents
 
 FIRST_PROXY_PORT = 10_240
 LAG_CHECK_INTERVAL_S = 0.02  # between two checks of how late the testbed itself is
 MIN_LAG_S = 0.005  # below it a lag of the testbed is not recorded
+PROCESS_EVENTS = frozenset({"kill", "term", "stop", "restart"})
+LINK_EVENTS = frozenset({"cut", "slow", "delay", "reset", "lose"})
+CANARY_MAX_INCREASE = 0.05  # of the share of failed requests, that a canary is allowed
 DEFAULT_COMMAND = [sys.executable, "-O", "-m", "calicofall", "serve"]
 
 
@@ -160,6 +164,7 @@
             self, model, lambda: {n: server.port for n, server in self.caches.items()}
         )
         self.discovery.has_agents = scenario.service.agents
+        self.service_events = ServiceEvents(self.discovery, scenario.service.room)
         wall, now = time.time(), self.loop.time()
         for name, server in self.caches.items():
             if cache.cold:
@@ -312,34 +317,7 @@
     def node_file(self, number: int) -> dict[str, Any]:
         """Return the configuration file of proxy `number`."""
         scenario, name = self.scenario, f"p{number}"
-        fleet, cache = scenario.fleet, scenario.cache
-        start: dict[str, Any] = {}
-        if fleet.told:
-            start = {
-                "watchesPerS": scenario.service.room,
-                "connections": cache.connections,
-                "cachePerS": cache.slots / cache.hit_ms * 1000.0,
-            }
-            if cache.handshakes is not None:
-                start["handshakesPerS"] = cache.handshakes
-            if cache.in_flight is not None:
-                start["inFlight"] = cache.in_flight
-            if scenario.origin.per_s is not None:
-                start["fetchesPerS"] = scenario.origin.per_s
-        if fleet.speak:
-            relay_port = self.relays[number].port
-            start |= {
-                "fleet": scenario.name,
-                "speak": f"127.0.0.1:{self.gossip_ports[number]}",
-                "watchesPerS": scenario.service.room,
-                "peers": [f"{proxy_address(i)}:{relay_port}" for i in range(fleet.proxies)],
-            }
-        if fleet.lend_s is not None:
-            start["lendS"] = fleet.lend_s
-        if fleet.witnesses:
-            start["witnesses"] = True
-        if fleet.snapshot:
-            start["snapshot"] = str(self.folder / name)
+        fleet = scenario.fleet
         host, port = self.client_addresses[name]
         node = {
             "name": name,
@@ -354,8 +332,45 @@
             node["document"] = self.make_document(1, ZONE_NAMES[: fleet.zones])
         if fleet.record:
             node["record"] = {"folder": str(self.folder / name / "record"), "level": "proxy", "segmentS": 3.0}
+        start = self.start_settings(number)
         return node | ({"start": start} if start else {})
 
+    def start_settings(self, number: int) -> dict[str, Any]:
+        """Return the settings of proxy `number` on limits and messages between proxies, if it has any."""
+        scenario, fleet = self.scenario, self.scenario.fleet
+        start = self.limit_settings() if fleet.told else {}
+        if fleet.speak:
+            relay_port = self.relays[number].port
+            start |= {
+                "fleet": scenario.name,
+                "speak": f"127.0.0.1:{self.gossip_ports[number]}",
+                "watchesPerS": scenario.service.room,
+                "peers": [f"{proxy_address(i)}:{relay_port}" for i in range(fleet.proxies)],
+            }
+        if fleet.lend_s is not None:
+            start["lendS"] = fleet.lend_s
+        if fleet.witnesses:
+            start["witnesses"] = True
+        if fleet.snapshot:
+            start["snapshot"] = str(self.folder / f"p{number}")
+        return start
+
+    def limit_settings(self) -> dict[str, Any]:
+        """Return the settings on what the service, the caches and the origin can take."""
+        scenario, cache = self.scenario, self.scenario.cache
+        limits: dict[str, Any] = {
+            "watchesPerS": scenario.service.room,
+            "connections": cache.connections,
+            "cachePerS": cache.slots / cache.hit_ms * 1000.0,
+        }
+        if cache.handshakes is not None:
+            limits["handshakesPerS"] = cache.handshakes
+        if cache.in_flight is not None:
+            limits["inFlight"] = cache.in_flight
+        if scenario.origin.per_s is not None:
+            limits["fetchesPerS"] = scenario.origin.per_s
+        return limits
+
     async def launch_proxies(self) -> None:
         """Launch the proxies one after the other, spread over the time that the scenario states."""
         fleet = self.scenario.fleet
@@ -459,57 +474,50 @@
 
     def begin_event(self, event: Any) -> None:
         """Carry out an event, or start it if it lasts."""
-        do = event.do
-        self.report_progress(f"{event.at:6.1f} s  {do} {getattr(event, 'who', '')}")
-        if do in ("kill", "term", "stop", "restart"):
-            proxies = sorted(
-                (n for n in self.expand(event.who) if n in self.client_addresses), key=lambda n: int(n[1:])
-            )
-            for index, name in enumerate(proxies):
-                self.loop.call_later(event.over * index / len(proxies), self.apply_process_event, event, name)
-        elif do in ("cut", "slow", "delay", "reset", "lose"):
+        self.report_progress(f"{event.at:6.1f} s  {event.do} {getattr(event, 'who', '')}")
+        if event.do in PROCESS_EVENTS:
+            self.begin_process_event(event)
+        elif event.do in LINK_EVENTS:
             self.begin_link_fault(event)
-        elif do == "service_down":
-            self.discovery.go_down()
-        elif do == "service_silent":
-            self.discovery.silent = True
-        elif do == "service_slow":
-            self.discovery.watch_delay_s = event.amount
-        elif do == "service_late":
-            self.discovery.model.event_delay_s = event.amount
-        elif do == "service_room":
-            self.discovery.model.watches_per_s = event.amount
-        elif do == "move":
+        elif event.do == "move":
             self.clients.first_tenant_proxies = self.expand(event.who)
-        elif do == "publish":
-            version = (
-                max((publication.version for publication in self.history.published_versions), default=0) + 1
-            )
-            self.history.published_versions.append(PublishedVersion(self.loop.time(), version, event.zones))
-            self.discovery.publish_document(self.make_document(version, event.zones, event.bad))
-        elif do == "try":
-            members = sorted(int(name[1:]) for name in self.expand(event.who) & self.client_addresses.keys())
-            self.history.canaries.append(
-                CanaryEvent(
-                    self.loop.time(), frozenset(f"p{number}" for number in members), event.span, event.bad
-                )
-            )
-            trial = {"members": members, "s": event.span, "worse": 0.05}
-            version = (
-                max((publication.version for publication in self.history.published_versions), default=0) + 1
-            )
-            self.discovery.hand_out_canary(self.make_document(version, event.zones, event.bad, trial))
-        elif do == "service_restart":
-            if event.older:
-                del self.discovery.documents[-event.older :]
-            self.discovery.go_down()
-            self.discovery.model.restart(int(event.amount))
-            self.discovery.down = False
-            if self.discovery.has_agents:
-                self.discovery.end_silence()
-        elif do != "burst":
+        elif event.do == "publish":
+            self.publish_version(event)
+        elif event.do == "try":
+            self.begin_canary(event)
+        elif not self.service_events.begin(event) and event.do != "burst":
             self.apply_cache_event(event)
 
+    def begin_process_event(self, event: Any) -> None:
+        """Carry out an event on the processes of proxies, spread over the time that the event states."""
+        proxies = sorted(
+            (name for name in self.expand(event.who) if name in self.client_addresses),
+            key=lambda name: int(name[1:]),
+        )
+        for index, name in enumerate(proxies):
+            self.loop.call_later(event.over * index / len(proxies), self.apply_process_event, event, name)
+
+    def publish_version(self, event: Any) -> None:
+        """Publish the next version of the settings."""
+        version = self._next_version()
+        self.history.published_versions.append(PublishedVersion(self.loop.time(), version, event.zones))
+        self.discovery.publish_document(self.make_document(version, event.zones, event.bad))
+
+    def begin_canary(self, event: Any) -> None:
+        """Hand out the next version of the settings as a canary."""
+        members = sorted(int(name[1:]) for name in self.expand(event.who) & self.client_addresses.keys())
+        self.history.canaries.append(
+            CanaryEvent(
+                self.loop.time(), frozenset(f"p{number}" for number in members), event.span, event.bad
+            )
+        )
+        plan = {"members": members, "s": event.span, "worse": CANARY_MAX_INCREASE}
+        self.discovery.hand_out_canary(self.make_document(self._next_version(), event.zones, event.bad, plan))
+
+    def _next_version(self) -> int:
+        published = (publication.version for publication in self.history.published_versions)
+        return max(published, default=0) + 1
+
     def apply_process_event(self, event: Any, name: str) -> None:
         """Carry out an event on the process of one proxy."""
         if event.do == "restart":
@@ -571,29 +579,18 @@
 
     def end_event(self, event: Any) -> None:
         """End an event that lasts."""
-        do = event.do
-        if do == "stop":
+        if event.do == "stop":
             for name in self.expand(event.who) & self.client_addresses.keys():
                 self.signal_proxy(name, signal.SIGCONT, "woken")
-        elif do in ("kill", "term"):
+        elif event.do in ("kill", "term"):
             for name in sorted(self.expand(event.who) & self.client_addresses.keys()):
                 self.clients.start_task(self.restart_proxy(name, event.forget))
-        elif do == "service_down":
-            self.discovery.down = False
-            if self.discovery.has_agents:
-                self.discovery.end_silence()
-        elif do == "service_slow":
-            self.discovery.watch_delay_s = 0.0
-        elif do == "service_silent":
-            self.discovery.end_silence()
-        elif do == "service_late":
-            self.discovery.model.event_delay_s = 0.0
-        elif do == "service_room":
-            self.discovery.model.watches_per_s = self.scenario.service.room
-        elif do in ("sick", "sick_large"):
+        elif event.do in ("sick", "sick_large"):
             for name in self.expand(event.who):
                 model = self.caches[name].model
                 model.slowdown = model.large_answer_slowdown = 1.0
+        else:
+            self.service_events.end(event)
 
     # Measurements
 
