--- a/tests/test_rate_slots.py
+++ b/tests/test_rate_slots.py
@@ -1,5 +1,6 @@
 """Rate slot leases and in-flight quotas: simulations, planted defects and a single proxy."""
 
+import time
 from collections.abc import Callable
 from random import Random
 
@@ -324,7 +325,13 @@
     assert peer_messages.name_digest(ORIGIN_FETCH_SLOTS) in requested_limits
 
 
-def test_requests_that_may_need_origin_wait_for_slots() -> None:
+@pytest.mark.parametrize("phase_s", [0.0, 0.25, 0.5, 0.75])
+def test_requests_that_may_need_origin_wait_for_slots(
+    phase_s: float, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    # Slots are at whole seconds of the wall clock here. Without a fixed clock, the last assertions could fall
+    # into the milliseconds between a slot and the tick in which a waiting request takes it.
+    monkeypatch.setattr(time, "time", lambda: 1_796_371_114.0 + phase_s)
     harness = QuotaHarness(fetchesPerS=4.0, lendS=None)  # one request per second at this proxy
     client = harness.client()
     harness.loop.advance(2.0)
