--- a/review/standins2/standins.py
+++ b/review/standins2/standins.py
@@ -7,6 +7,7 @@
 import asyncio
 import json
 import os
+import random
 import shutil
 import signal
 import socket
@@ -49,9 +50,15 @@
 
 
 def free_port():
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
+    """Returns a free port below those that the system gives to outgoing connections."""
+    while True:
+        port = random.randrange(12_000, 30_000)
+        with socket.socket() as probe:
+            try:
+                probe.bind(("127.0.0.1", port))
+                return port
+            except OSError:
+                continue
 
 
 def method(name, effect="pure", window_ms=5000, soft_ms=500, hard_ms=1000, gain=1.0):
