--- a/review/6/case.py
+++ b/review/6/case.py
@@ -105,6 +105,7 @@
         kinds = "1" * IN_FRONT + "2" + "3" * BEHIND
         requests = [(os.urandom(8).hex(), f"{kind}{chance.getrandbits(60):015x}") for kind in kinds]
         record.line(f"client sends {len(requests)} commands at once, first id={requests[0][0]}, long id={requests[IN_FRONT][0]}")
+        record.line(f"client ids in order: {' '.join(one for one, _ in requests)}")
         await loop.sock_sendall(
             client, b"".join(encode_command("C.GET", key, one, "c=item-view,t=x,d=2900") for one, key in requests)
         )
