--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,6 +1,6 @@
 """Deduped writes of some MB: is one of them applied twice?
 
-Eight cache nodes. One of them is slow: it reads long commands at 2 MB a second, and its system keeps few bytes for it, so
+Eight cache nodes. One of them is slow: it reads long commands at 4.6 MB a second, and its system keeps few bytes for it, so
 that the proxy is still writing when the window ends (`sends` at the management address counts a command when its last
 byte has left the proxy). Under a part of the orders that the others
 have run, the connection is reset before the answer. All cache nodes together drop a repeat of a mark for the window that
@@ -24,9 +24,9 @@
 WINDOW_S = 0.3
 SLACK_S = 0.05
 SERVICE_S = 0.01
-SLOW_BYTES_PER_S = 2_000_000
+SLOW_BYTES_PER_S = 4_600_000
 RESET_SHARE = 0.5
-VALUE_BYTES = 4_000_000
+VALUE_BYTES = 4_100_000
 ORDERS = 190
 NODES = 8
 chance = random.Random()
@@ -127,7 +127,7 @@
             reader, writer = await asyncio.open_connection(*proxy.address)
             answers = Answers(reader)
             while not stop.is_set():
-                writer.write(encode_command("C.GET", f"{chance.getrandbits(60):016x}", os.urandom(8).hex(), "c=item-view,t=x,d=900"))
+                writer.write(encode_command("C.GET", f"{chance.getrandbits(60):016x}", os.urandom(8).hex(), "c=lot-read,t=x,d=900"))
                 await answers.read()
                 await asyncio.sleep(0.1)
             writer.close()
@@ -145,8 +145,8 @@
         await node.start()
         agent.put(node.name, node.address, zone=("ikeja", "yaba")[number % 2])
     methods = [
-        method("item-view", "pure", 5000, 500, 1000, 5.0),
-        method("order-place", "token", WINDOW_S * 1000, 1500, 3000, 10.0),
+        method("lot-read", "pure", 5000, 400, 1200, 3.0),
+        method("place-bid", "token", WINDOW_S * 1000, 600, 1200, 8.0),
     ]
     proxy = Proxy(record, "n0", settings(methods), agent.address, agent.whole(), mgmt=True)
     proxies.append(proxy)
@@ -170,7 +170,7 @@
         request_id, mark, key = os.urandom(8).hex(), os.urandom(8).hex(), f"{chance.getrandbits(60):016x}"
         reader, writer = await asyncio.open_connection(*proxy.address)
         record.line(f"client order {number} id={request_id} mark={mark} key={key}")
-        writer.write(encode_command("C.SET", key, request_id, f"c=order-place,t=x,d=2800,k={mark}", value))
+        writer.write(encode_command("C.SET", key, request_id, f"c=place-bid,t=x,d=1150,k={mark}", value))
         kind, answer = await asyncio.wait_for(Answers(reader).read(), 10.0)
         record.line(f"client order {number} mark={mark} answered {kind} {answer[:40]!r}")
         outcomes[kind] = outcomes.get(kind, 0) + 1
