Each case of the review names the record.txt that it writes in its folder

Cause: record.txt was written by the module that the cases share, which alone named it; nothing in a case's folder told of it.

--- a/review/5/case.py
+++ b/review/5/case.py
@@ -196,4 +196,4 @@
     return BROKEN if twice else HELD
 
 
-main(HERE, play)
+main(HERE / "record.txt", play)
--- a/review/6/case.py
+++ b/review/6/case.py
@@ -154,4 +154,4 @@
     return BROKEN if total["lost"] else HELD
 
 
-main(HERE, play)
+main(HERE / "record.txt", play)
--- a/review/standins2/standins.py
+++ b/review/standins2/standins.py
@@ -30,8 +30,8 @@
 class Record:
     """What was sent, answered and run, in the order in which the stand-ins saw it."""
 
-    def __init__(self, folder):
-        self.file = open(Path(folder) / "record.txt", "w")
+    def __init__(self, path):
+        self.file = open(path, "w")
         self.began_at = time.monotonic()
 
     def now(self):
@@ -295,9 +295,9 @@
             return "closed", b""
 
 
-def main(folder, play):
-    """Runs a case: `play(record, proxies)` returns the exit code; proxies that it appended are ended."""
-    record, proxies = Record(folder), []
+def main(record_path, play):
+    """Runs a case and writes its record; `play(record, proxies)` returns the exit code, its proxies are ended."""
+    record, proxies = Record(record_path), []
     code = NOT_RUN
     signal.signal(signal.SIGTERM, lambda number, frame: sys.exit(NOT_RUN))  # ends the proxies, too
     record.line(f"TROUBLE={int(TROUBLE)}")
