A value that breaks off ends its client's connection behind the whole answers before it

Cause: PendingReply.abort closed the socket over unread input (reading pauses at 16 replies due), and such a close is a reset, which drops what the kernel holds. The usual close would not have been enough: its 0.25 s began when the transport was empty, and reading stopped for good after 128 KiB of discarded input.

Change: the value's connection is closed as others are; requests behind it end as those of a client that has left. LingeringClose, a module of its own, ends a close 0.25 s after the client acknowledged all output (TIOCOUTQ), when it acknowledges nothing for the stall time-out, or after 20 s. Counters truncated_values, undelivered_closes. Three tests of truncated values expected the connection to be gone in the same instant; they now expect the shutdown behind the last byte and the end LINGER_S later.

--- a/calicofall/proxy/client_connection.py
+++ b/calicofall/proxy/client_connection.py
@@ -5,11 +5,8 @@
 """
 
 import asyncio
-import sys
 from collections import deque
 from collections.abc import Callable
-from fcntl import ioctl
-from termios import FIONREAD, TIOCOUTQ
 from typing import TYPE_CHECKING, Any
 
 from calicofall.proxy import resp
@@ -18,6 +15,7 @@
 from calicofall.proxy.command_parser import CommandParser
 from calicofall.proxy.connection import BufferedConnection
 from calicofall.proxy.held_input import HeldInput
+from calicofall.proxy.kernel_buffers import unread_bytes
 
 if TYPE_CHECKING:
     from calicofall.proxy.clients import ClientConnections
@@ -79,9 +77,9 @@
         """Writes the next chunk of a streamed value."""
         self.client.write(data)
 
-    def abort(self) -> None:
-        """Aborts the connection, which tells the client that a streamed value is incomplete."""
-        self.client.abort()
+    def truncate(self) -> None:
+        """Ends the connection behind the part of a streamed value that was written."""
+        self.client.close_truncated()
 
 
 class ClientConnection(BufferedConnection):
@@ -90,6 +88,7 @@
     def __init__(self, clients: "ClientConnections") -> None:
         super().__init__(clients.loop)
         self.clients = clients
+        self.closing_stall_timeout_s = clients.stall_timeout_s
         self.parser = CommandParser(self.input, asks_for_long_values=True)
         self.replies: deque[PendingReply] = deque()
         self.reading_paused = False
@@ -143,7 +142,7 @@
             self.write(answer)
         if self.replies and not self.write_paused and self._stream(self.replies[0]):
             return
-        if not self.replies and not self.closed:
+        if not (self.replies or self.closed or self.closing):
             self._on_all_replied()
         if self.reading_paused and not (self.ignores_input or self.closing):
             self.clients.loop.call_soon(self.on_data)
@@ -171,23 +170,6 @@
             self.clients.stall_timeout_s, self.check_stall, unsent
         )
 
-    def unsent_kernel_bytes(self) -> int:
-        """Returns the number of bytes in the kernel's send buffer.
-
-        The transport's callbacks report a change of its buffer only in large steps.
-        """
-        return self._kernel_bytes(TIOCOUTQ)
-
-    def _kernel_bytes(self, request: int) -> int:
-        raw_socket = self.transport.get_extra_info("socket")
-        if not raw_socket:
-            return 0
-        try:
-            count = ioctl(raw_socket.fileno(), request, bytes(4))
-        except OSError:
-            return 0
-        return int.from_bytes(count, sys.byteorder)
-
     def measure_partial_command(self) -> tuple[int, int]:
         """Returns the memory of an incomplete command, by whether room is set aside for a long value of it.
 
@@ -216,6 +198,16 @@
             self.clients.on_closing(self)
             super().close()
 
+    def close_truncated(self) -> None:
+        """Closes behind what has been written, the last value of which is incomplete.
+
+        The client receives the whole replies before that value, and can tell its length. Requests behind it
+        end as those of a client that has disconnected.
+        """
+        self.ignores_input = True
+        self.close()
+        self._end_requests()
+
     def detect_disconnect(self) -> bool:
         """Whether the connection is closed; detects a client's close also while reading is paused.
 
@@ -233,7 +225,13 @@
         """The connection is closed: the requests whose replies are still due are cancelled."""
         if self.stall_timer is not None:
             self.stall_timer.cancel()
+        if self.has_undelivered_output():
+            self.clients.memory.metrics.undelivered_closes += 1
         self.clients.remove_client(self)
+        self._end_requests()
+
+    def _end_requests(self) -> None:
+        """Cancels the requests whose replies are due, since nothing further is written."""
         replies, self.replies = self.replies, deque()
         for reply in replies:
             self.clients.memory.add_buffered(-reply.buffered_bytes)
@@ -290,9 +288,9 @@
             self.reading_paused_at = self.loop.time()
             self.transport.pause_reading()
             return
-        unread_bytes = self._kernel_bytes(FIONREAD)
-        if unread_bytes:
-            self.held_input.hold(self.received_bytes + unread_bytes, self.reading_paused_at)
+        unread = unread_bytes(self.transport)
+        if unread:
+            self.held_input.hold(self.received_bytes + unread, self.reading_paused_at)
         self.transport.resume_reading()
 
     def _add_reply(self, command_bytes: int) -> PendingReply:
--- a/calicofall/proxy/connection.py
+++ b/calicofall/proxy/connection.py
@@ -1,8 +1,8 @@
 """The base class of all TCP connections of the proxy, and the listener that accepts connections.
 
 Invariants: the transport is given more output only when its own buffer is empty, so that the bytes in the
-output queue are known to be unsent; a connection with unsent output is not closed while it has unread input,
-which would reset it; no exception leaves a callback.
+output queue are known to be unsent; a connection that is closing ends behind its last byte, as its peer
+receives it; no exception leaves a callback.
 """
 
 import asyncio
@@ -16,10 +16,10 @@
 from typing import Any
 
 from calicofall.proxy.buffers import OutputQueue, RingBuffer
+from calicofall.proxy.kernel_buffers import unacknowledged_bytes
+from calicofall.proxy.lingering_close import STALL_TIMEOUT_S, LingeringClose
 
 CHUNK_BYTES = 1 << 16
-LINGER_S = 0.25  # time for the peer to read the last bytes of a connection that is closing
-MAX_DISCARDED_BYTES = 1 << 17  # of a connection that is closing; as much as the kernel buffers for it
 LISTEN_BACKLOG = 512
 ACCEPTS_PER_ITERATION = 16
 ACCEPT_PAUSE_S = 0.05  # until the next attempt after there was no capacity for a connection
@@ -48,8 +48,8 @@
         self.close_reason = "closed"
         self.lacked_local_resources = False  # opening failed for lack of local descriptors, ports or memory
         self.connect_task: asyncio.Task[None] | None = None
-        self.linger_timer: asyncio.TimerHandle | None = None  # set when all output has been written
-        self.discarded_bytes = 0
+        self.lingering_close: LingeringClose | None = None  # set while the connection is closing
+        self.closing_stall_timeout_s = STALL_TIMEOUT_S
         self.received_bytes = 0  # since the connection was created
         self.queued_bytes = 0  # written to this connection since it was created
         self.handed_over_bytes = 0  # of these, passed to the transport
@@ -112,9 +112,9 @@
             self.transport.write(chunk)
         self.on_bytes_handed_over()
         all_written = not (self.write_paused or len(self.output))
-        if self.closing and self.linger_timer is None and all_written:
+        if self.lingering_close is not None and not self.lingering_close.is_shut_down and all_written:
             self.transport.write_eof()
-            self.linger_timer = self.loop.call_later(LINGER_S, self.abort)
+            self.lingering_close.on_shut_down()
 
     def pause_writing(self) -> None:
         """The transport's buffer is full; part of asyncio's protocol."""
@@ -134,11 +134,23 @@
         if self.closing or self.closed:
             return
         self.closing = True
+        self.lingering_close = LingeringClose(self, self.closing_stall_timeout_s)
         self.input.drop(len(self.input))
         if self.transport is not None:
             self.transport.resume_reading()  # else the peer's close after unread bytes would go unnoticed
         self.flush()
 
+    def unsent_kernel_bytes(self) -> int:
+        """Returns how much of the output in the kernel's send buffer the peer has not acknowledged (bytes).
+
+        The transport's callbacks report a change of its buffer only in large steps.
+        """
+        return unacknowledged_bytes(self.transport)
+
+    def has_undelivered_output(self) -> bool:
+        """Whether the peer has not acknowledged all output that was written."""
+        return bool(len(self.output) or self.write_paused or self.unsent_kernel_bytes())
+
     def peer_has_closed(self) -> bool:
         """Whether the peer has closed, also while reading is paused and unread bytes precede its close."""
         raw_socket = None if self.transport is None else self.transport.get_extra_info("socket")
@@ -194,16 +206,16 @@
         """Called once, when the connection is closed."""
 
     def _discard_input(self, count: int) -> None:
-        """Discards input that arrives after the shutdown, so that no reset is sent, up to a maximum."""
+        """Discards input that arrives during the close, so that no reset is sent."""
         self.input.drop(len(self.input))
-        self.discarded_bytes += count
-        if self.discarded_bytes > MAX_DISCARDED_BYTES:
-            self.transport.pause_reading()
+        if self.lingering_close is not None:
+            self.lingering_close.on_input(count)
 
     def _mark_closed(self) -> None:
         self.closed = True
-        if self.linger_timer is not None:
-            self.linger_timer.cancel()  # it would keep the closed connection in memory until it fires
+        if self.lingering_close is not None:
+            self.lingering_close.cancel()  # its timer would keep the closed connection in memory
+            self.lingering_close = None
 
 
 def open_connection(
--- a/calicofall/proxy/metrics.py
+++ b/calicofall/proxy/metrics.py
@@ -20,6 +20,8 @@
         self.memory_waits = 0  # long commands that waited for memory before their value was read
         self.memory_wait_ms = 0  # how long these waited, in total
         self.memory_refusals = 0  # of these, refused since their time was running out
+        self.truncated_values = 0  # values that broke off after a part of them was sent to the client
+        self.undelivered_closes = 0  # clients' connections that ended before the client had all output
         self.connection_waits = 0  # attempts that found no free connection and waited for one
 
     def count_answer(self, answer: str, method: str) -> None:
@@ -53,6 +55,8 @@
             f"proxy.sends:{self.attempts_sent}|c",
             f"proxy.connection_waits:{self.connection_waits}|c",
             f"proxy.second_copies:{self.second_copies}|c",
+            f"proxy.truncated_values:{self.truncated_values}|c",
+            f"proxy.undelivered_closes:{self.undelivered_closes}|c",
             f"proxy.memory_waits:{self.memory_waits}|c",
             f"proxy.memory_wait_ms:{self.memory_wait_ms}|c",
             f"proxy.memory_refusals:{self.memory_refusals}|c",
--- a/calicofall/proxy/request_lifecycle.py
+++ b/calicofall/proxy/request_lifecycle.py
@@ -290,15 +290,16 @@
         return next_endpoint
 
     def _end_truncated(self, active_request: ActiveRequest) -> None:
-        """Ends a request of whose value the client has a part: the closed connection tells it so."""
+        """Ends a request of whose value the client has a part: the connection ends behind it."""
         request = active_request.request
         reply = active_request.reply
         request.answer = "errored"
         active_request.reply = None
         self.metrics.count_answer(request.answer, request.name)
+        self.metrics.truncated_values += 1
         self._remove_active_request(active_request)
         if reply is not None:
-            reply.abort()
+            reply.truncate()
 
     # Active requests
 
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -40,8 +40,9 @@
 from calicofall.proxy import resp
 from calicofall.proxy.client_connection import MAX_PIPELINED_COMMANDS
 from calicofall.proxy.clients import EXCESS_IDLE_TIMEOUT_S, MAX_RELEASING_DESCRIPTORS
-from calicofall.proxy.connection import LINGER_S, BufferedConnection, Listener, open_connection
+from calicofall.proxy.connection import BufferedConnection, Listener, open_connection
 from calicofall.proxy.discovery import Discovery
+from calicofall.proxy.lingering_close import LINGER_S
 from calicofall.proxy.server import RESERVED_DESCRIPTORS, Proxy
 from calicofall.startup.discovery_schedule import DiscoverySchedule
 
@@ -669,7 +670,11 @@
     assert client.sent.startswith(b"$100000\r\n") and not sum(policy.outliers.resets.sums)
     upstream.abort()
     assert sum(policy.outliers.resets.sums) == 1.0 and not policy.fleet_limit.in_flight
-    assert not client.open and not harness.proxy.active_requests and not harness.proxy.router.active_requests
+    assert (
+        client.eof_written and not harness.proxy.active_requests and not harness.proxy.router.active_requests
+    )
+    harness.loop.advance(LINGER_S)
+    assert not client.open
 
 
 # An exception in the proxy itself
--- a/tests/test_large.py
+++ b/tests/test_large.py
@@ -6,6 +6,7 @@
 from helpers import FakeTransport, ProxyHarness, encode_reply, encode_request
 
 from calicofall.proxy import client_connection, clients, resp, upstream_connection
+from calicofall.proxy.lingering_close import LINGER_S
 from calicofall.proxy.resp import MAX_VALUE_BYTES, STREAMING_THRESHOLD_BYTES, WITHHELD_TAIL_BYTES
 from calicofall.proxy.upstream_connection import REPLY_SETTLE_S
 
@@ -198,7 +199,9 @@
     harness.loop.advance(upstream_connection.STREAM_STALL_TIMEOUT_S - 0.1)
     assert upstream.open and client.open
     harness.loop.advance(0.2)
-    assert not upstream.open and not client.open and len(client.sent) < MAX_VALUE_BYTES
+    assert not upstream.open and client.eof_written and len(client.sent) < MAX_VALUE_BYTES
+    harness.loop.advance(LINGER_S)
+    assert not client.open and len(client.sent) < MAX_VALUE_BYTES
     assert harness.proxy.metrics.totals() == {"completed": 0, "exhausted": 0, "errored": 1}
     assert not harness.proxy.active_requests and len(harness.loop.connect_requests) == 1  # no second attempt
 
@@ -220,7 +223,9 @@
     data = encode_reply(value)
     upstream.feed(data[: data.index(value) + len(value)])
     upstream.feed(rest) if rest is not None else upstream.abort()
-    assert not client.open and not upstream.open and len(client.sent) < len(resp.encode_bulk(value))
+    assert client.eof_written and not upstream.open and len(client.sent) < len(resp.encode_bulk(value))
+    harness.loop.advance(LINGER_S)
+    assert not client.open
     assert harness.proxy.metrics.totals()["errored"] == 1 and not harness.proxy.active_requests
 
 
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -22,8 +22,9 @@
 from calicofall.proxy.client_connection import MAX_CONSECUTIVE_ERRORS
 from calicofall.proxy.client_protocol import parse_request_fields
 from calicofall.proxy.clients import IDLE_BUDGET_DIVISOR
-from calicofall.proxy.connection import ACCEPTS_PER_ITERATION, MAX_DISCARDED_BYTES, Listener
+from calicofall.proxy.connection import ACCEPTS_PER_ITERATION, Listener
 from calicofall.proxy.connection_pool import MIN_IDLE_CONNECTIONS
+from calicofall.proxy.lingering_close import MAX_DISCARDED_BYTES
 from calicofall.proxy.upstream_connection import REPLY_SETTLE_S
 from calicofall.routing.request import Request
 from calicofall.routing.router import Router
--- /dev/null
+++ b/tests/test_truncated_values.py
@@ -0,0 +1,199 @@
+"""A value that breaks off ends its client's connection behind the whole answers that precede it.
+
+What the proxy has passed on lies in its output queue, the transport's buffer and the kernel's send buffer. A
+reset drops all three, and the close of a socket over unread input is a reset.
+"""
+
+import socket
+import struct
+import time
+from collections.abc import Iterator
+
+import pytest
+from helpers import SETTINGS, FakeTransport, ProxyHarness, encode_reply, encode_request
+from test_endings import SocketHarness, unread_bytes, wait_for_unread
+
+from calicofall.proxy import resp
+from calicofall.proxy.client_connection import MAX_PIPELINED_COMMANDS, ClientConnection
+from calicofall.proxy.lingering_close import LINGER_S, MAX_CLOSING_S, MAX_DISCARDED_BYTES, STALL_TIMEOUT_S
+
+PING = resp.encode_command([b"PING"])
+ANSWERS_IN_FRONT = 6
+CLIENT_BUFFER_BYTES = 16_384
+WHOLE_VALUE = bytes(60_000)
+TRUNCATED_VALUE_BYTES = 400_000
+
+
+@pytest.fixture
+def socket_harness() -> Iterator[SocketHarness]:
+    harness = SocketHarness()
+    yield harness
+    harness.close()
+
+
+def connect_slow_client(harness: SocketHarness) -> socket.socket:
+    """Connects a client whose kernel buffers little input, so that the proxy's kernel holds the rest."""
+    before = len(harness.proxy.clients.connections)
+    sock = socket.socket()
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, CLIENT_BUFFER_BYTES)
+    sock.settimeout(5.0)
+    sock.connect(harness.address)
+    harness.open_sockets.append(sock)
+    harness.run_until(lambda: len(harness.proxy.clients.connections) > before)
+    return sock
+
+
+def reset(sock: socket.socket) -> None:
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    sock.close()
+
+
+def truncate_behind_whole_answers(
+    harness: SocketHarness, unread_input: bytes
+) -> tuple[socket.socket, ClientConnection]:
+    """Lets a value break off behind whole answers, while a client reads nothing and its input is unread."""
+    sock = connect_slow_client(harness)
+    connection = next(iter(harness.proxy.clients.connections))
+    sock.sendall(b"".join(encode_request(key=1) for _ in range(MAX_PIPELINED_COMMANDS)))
+    harness.run_until(lambda: harness.has_sent(MAX_PIPELINED_COMMANDS))
+    caches = [harness.accept_cache_connection() for _ in range(MAX_PIPELINED_COMMANDS)]
+    assert connection.reading_paused
+    sock.sendall(unread_input)
+    wait_for_unread(connection.transport.get_extra_info("socket"), min(len(unread_input), 20_000))
+    for cache in caches[:ANSWERS_IN_FRONT]:
+        cache.sendall(encode_reply(WHOLE_VALUE))
+    caches[ANSWERS_IN_FRONT].sendall(encode_reply(bytes(TRUNCATED_VALUE_BYTES))[: TRUNCATED_VALUE_BYTES // 2])
+    harness.run_until(lambda: connection.replies and connection.replies[0].head_sent)
+    assert connection.unsent_kernel_bytes() > 0
+    assert unread_bytes(connection.transport.get_extra_info("socket"))
+    reset(caches[ANSWERS_IN_FRONT])
+    harness.run_until(lambda: harness.proxy.metrics.truncated_values)
+    return sock, connection
+
+
+def read_slowly(harness: SocketHarness, sock: socket.socket) -> bytes:
+    """Returns all bytes up to the proxy's close, read while its event loop runs; raises on a reset."""
+    data = b""
+    sock.setblocking(False)
+    deadline = time.monotonic() + 10.0
+    while time.monotonic() < deadline:
+        harness.run_loop(0.002)
+        try:
+            received = sock.recv(1 << 14)
+        except BlockingIOError:
+            continue
+        if not received:
+            return data
+        data += received
+    raise AssertionError("the connection has not ended")
+
+
+def assert_whole_answers_and_a_part(data: bytes) -> None:
+    whole_answers = resp.encode_bulk(WHOLE_VALUE) * ANSWERS_IN_FRONT
+    assert data.startswith(whole_answers)
+    rest = data[len(whole_answers) :]
+    # The client can tell that the value is incomplete, and nothing is written behind it.
+    assert rest.startswith(b"$%d\r\n" % TRUNCATED_VALUE_BYTES)
+    assert rest.count(b"\n") == 1
+    assert len(rest) < TRUNCATED_VALUE_BYTES
+
+
+@pytest.mark.parametrize("pause_s", [0.0, 3 * LINGER_S])
+@pytest.mark.parametrize("unread_input", [PING * 1000, PING * 40_000], ids=["14 kB", "560 kB"])
+def test_whole_answers_before_a_truncated_value_reach_a_slow_client(
+    socket_harness: SocketHarness, pause_s: float, unread_input: bytes
+) -> None:
+    """The connection was reset over unread commands, and whole answers that the kernel held were lost."""
+    sock, connection = truncate_behind_whole_answers(socket_harness, unread_input)
+    assert not socket_harness.proxy.active_requests  # those behind it end as if their client had left
+    socket_harness.run_loop(pause_s)
+    assert_whole_answers_and_a_part(read_slowly(socket_harness, sock))
+    sock.close()
+    socket_harness.run_until(lambda: connection.closed)
+    assert socket_harness.proxy.metrics.undelivered_closes == 0
+
+
+class ClosingClients:
+    """Clients on fake transports that are closing, with output that their kernels have not acknowledged."""
+
+    def __init__(self, monkeypatch: pytest.MonkeyPatch, count: int, sockets: int = 1024) -> None:
+        self.harness = ProxyHarness(sockets=sockets)
+        self.unacknowledged: dict[ClientConnection, int] = {}
+        monkeypatch.setattr(
+            ClientConnection, "unsent_kernel_bytes", lambda client: self.unacknowledged.get(client, 0)
+        )
+        self.transports = [self.harness.client() for _ in range(count)]
+        for transport in self.transports:
+            transport.feed(PING)
+            self.unacknowledged[transport.stream] = 1_000_000
+            transport.stream.close()
+
+    def open_transports(self) -> list[FakeTransport]:
+        return [transport for transport in self.transports if transport.open]
+
+
+def test_close_waits_for_a_client_that_goes_on_reading(monkeypatch: pytest.MonkeyPatch) -> None:
+    """The time of a close began when the transport was empty, while the kernel still held megabytes."""
+    clients = ClosingClients(monkeypatch, 1)
+    (stream,) = clients.unacknowledged
+    for _ in range(4):
+        clients.harness.loop.advance(STALL_TIMEOUT_S - 0.1)
+        assert clients.open_transports()
+        clients.unacknowledged[stream] -= 1000
+    clients.unacknowledged[stream] = 0
+    clients.harness.loop.advance(LINGER_S - 0.01)
+    assert clients.open_transports()
+    clients.harness.loop.advance(0.1)
+    assert not clients.open_transports()
+    assert clients.harness.proxy.metrics.undelivered_closes == 0
+
+
+def test_close_ends_in_bounded_time_though_its_client_reads_nothing(monkeypatch: pytest.MonkeyPatch) -> None:
+    clients = ClosingClients(monkeypatch, 3)
+    clients.harness.loop.advance(STALL_TIMEOUT_S - 0.1)
+    assert len(clients.open_transports()) == 3
+    clients.harness.loop.advance(0.2)
+    assert not clients.open_transports()
+    assert not clients.harness.proxy.clients.connections
+    assert clients.harness.proxy.metrics.undelivered_closes == 3
+
+
+def test_close_ends_in_bounded_time_though_its_client_reads_hardly_anything(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    clients = ClosingClients(monkeypatch, 1)
+    (stream,) = clients.unacknowledged
+    for _ in range(int(MAX_CLOSING_S)):
+        assert clients.open_transports()
+        clients.unacknowledged[stream] -= 1
+        clients.harness.loop.advance(1.0)
+    assert not clients.open_transports()
+
+
+def test_input_of_a_closing_connection_is_read_at_a_bounded_rate(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Reading stopped for good after 128 KiB, and the close over the rest was a reset."""
+    clients = ClosingClients(monkeypatch, 1)
+    (transport,) = clients.transports
+    for _ in range(5):
+        transport.feed(bytes(MAX_DISCARDED_BYTES + 1))
+        assert transport.paused
+        assert not len(transport.stream.input)
+        clients.harness.loop.advance(0.1)
+        assert not transport.paused
+
+
+def test_requests_behind_a_truncated_value_end_as_if_their_client_had_left() -> None:
+    harness = ProxyHarness(methods=SETTINGS["methods"]).with_high_limits()
+    client = harness.client()
+    client.feed(encode_request(key=1) + encode_request("order", key=1) + encode_request(key=1))
+    upstreams = [harness.connect_upstream(number) for number in range(3)]
+    upstreams[0].feed(encode_reply(bytes(TRUNCATED_VALUE_BYTES))[:200_000])
+    upstreams[2].feed(encode_reply(b"whole, but behind it"))
+    upstreams[0].abort()
+    assert client.eof_written
+    assert b"whole" not in client.sent
+    assert not upstreams[1].open  # nothing is sent for it any more
+    assert not harness.proxy.active_requests
+    assert not harness.proxy.router.active_requests
+    assert not harness.proxy.clients.memory.buffered_bytes
+    assert not harness.proxy.router.policy.fleet_limit.in_flight
