A process that ends discards unread input, over which the kernel would reset its clients

Cause: the process exits with open sockets, and the kernel's close over unread input is a reset.

Measured: the new test, on real sockets, failed before for want of the method; with the discarding taken out it ends in ECONNRESET.

--- a/calicofall/proxy/clients.py
+++ b/calicofall/proxy/clients.py
@@ -11,6 +11,7 @@
 
 from calicofall.proxy.client_connection import NO_PARTIAL_COMMAND, ClientConnection, PendingReply
 from calicofall.proxy.command_memory import CommandMemory
+from calicofall.proxy.kernel_buffers import discard_unread_input
 
 FIRST_BYTE_TIMEOUT_S = 2.3
 COMMAND_TIMEOUT_S = 2.5  # for a complete command, or for more input of a long one
@@ -173,6 +174,11 @@
         self.idle.pop(client, None)
         self.closing.pop(client, None)
 
+    def discard_unread_input(self) -> None:
+        """Discards all unread input, over which the end of the process would reset the connections."""
+        for client in self.connections:
+            discard_unread_input(client.transport)
+
     def close_idle(self) -> None:
         """Closes idle connections, but not those without input yet or with an incomplete command."""
         self.first_byte_timeout_s = SHUTDOWN_TIMEOUT_S
--- a/calicofall/proxy/server.py
+++ b/calicofall/proxy/server.py
@@ -696,6 +696,7 @@
         )
         await self.stopped
         self.upstreams.close()
+        self.clients.discard_unread_input()
         self.discovery.stop()
         self.requests.log_latencies()
         log.info("stopped", extra=self.metrics.totals() | {"broken": dict(violation_counts) or None})
--- a/tests/test_truncated_values.py
+++ b/tests/test_truncated_values.py
@@ -11,7 +11,7 @@
 
 import pytest
 from helpers import SETTINGS, FakeTransport, ProxyHarness, encode_reply, encode_request
-from test_endings import SocketHarness, unread_bytes, wait_for_unread
+from test_endings import SocketHarness, read_until_close, unread_bytes, wait_for_unread
 
 from calicofall.proxy import resp
 from calicofall.proxy.client_connection import MAX_PIPELINED_COMMANDS, ClientConnection
@@ -113,6 +113,28 @@
     assert socket_harness.proxy.metrics.undelivered_closes == 0
 
 
+def test_whole_answers_survive_the_end_of_the_process_over_unread_commands(
+    socket_harness: SocketHarness,
+) -> None:
+    """A process that ended over unread commands reset connections with whole answers on their way."""
+    sock = connect_slow_client(socket_harness)
+    connection = next(iter(socket_harness.proxy.clients.connections))
+    sock.sendall(b"".join(encode_request(key=1) for _ in range(MAX_PIPELINED_COMMANDS)))
+    socket_harness.run_until(lambda: socket_harness.has_sent(MAX_PIPELINED_COMMANDS))
+    server_socket = connection.transport.get_extra_info("socket")
+    sock.sendall(PING * 1000)
+    wait_for_unread(server_socket, len(PING) * 1000)
+    socket_harness.accept_cache_connection().sendall(encode_reply(WHOLE_VALUE))
+    socket_harness.run_until(lambda: socket_harness.proxy.metrics.totals()["completed"])
+    assert connection.unsent_kernel_bytes() > 0
+    assert not connection.write_paused
+    assert unread_bytes(server_socket) > 0
+    socket_harness.proxy.clients.discard_unread_input()
+    connection.abort()  # the end of the process closes the socket in the same way
+    socket_harness.run_loop()
+    assert read_until_close(sock) == resp.encode_bulk(WHOLE_VALUE)
+
+
 class ClosingClients:
     """Clients on fake transports that are closing, with output that their kernels have not acknowledged."""
 
