A newcomer or a lowered limit takes no connection to whose client answers are due

Cause: ClientConnections chose by state alone (closing, idle, half a command), never by what was due.

Change: only connections without a due reply and without unacknowledged output are taken; a lowered limit closes the others behind their output. Closing connections end in bounded time by themselves, so room comes back.

Measured: the three new tests fail before (a newcomer was let in for a connection that owed output; the idle connection was aborted; the client with a reply due was closed) and pass now.

--- a/calicofall/proxy/client_connection.py
+++ b/calicofall/proxy/client_connection.py
@@ -198,6 +198,10 @@
             self.clients.on_closing(self)
             super().close()
 
+    def has_due_output(self) -> bool:
+        """Whether a reply is due, or the client has not received all that was written."""
+        return bool(self.replies) or self.has_undelivered_output()
+
     def close_truncated(self) -> None:
         """Closes behind what has been written, the last value of which is incomplete.
 
--- a/calicofall/proxy/clients.py
+++ b/calicofall/proxy/clients.py
@@ -7,7 +7,7 @@
 
 import asyncio
 from collections import OrderedDict
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Iterable, Sequence
 
 from calicofall.proxy.client_connection import NO_PARTIAL_COMMAND, ClientConnection, PendingReply
 from calicofall.proxy.command_memory import CommandMemory
@@ -90,10 +90,17 @@
         return len(self.releasing) >= MAX_RELEASING_DESCRIPTORS
 
     def set_max_connections(self, max_connections: int) -> None:
-        """Sets the budget and closes connections over it: first closing ones, then idle ones."""
+        """Sets the budget and closes connections over it: first closing ones, then idle ones.
+
+        One whose client has not received all output ends only behind it.
+        """
         self.max_connections = max(1, max_connections)
-        while (self.closing or self.idle) and self._total() > self.max_connections:
-            next(iter(self.closing or self.idle)).abort()
+        excess = max(0, self._total() - self.max_connections)
+        for client in [*self.closing, *self.idle][:excess]:
+            if client.has_due_output():
+                client.close()
+            else:
+                client.abort()
 
     def on_first_byte(self, client: ClientConnection) -> None:
         """Marks the client as idle when its first input arrives."""
@@ -208,16 +215,17 @@
         """Returns the connection to close for a new one.
 
         In this order: one that is closing, one that has been silent since it was accepted, the longest idle
-        one, a fresh one without input, one with an incomplete command.
+        one, a fresh one without input, one with an incomplete command. None to whose client a reply is due,
+        or whose client has not received all output: the close of a socket over unread input discards it.
         """
         silent_before = self.loop.time() - FRESH_CONNECTION_S
         silent = (client for client, since in self.without_first_byte.items() if since < silent_before)
         candidates: Sequence[ClientConnection | None] = (
-            next(iter(self.closing), None),
+            first_without_due(self.closing),
             next(silent, None),
-            next(iter(self.idle), None),
+            first_without_due(self.idle),
             next(iter(self.without_first_byte), None),
-            next(iter(self.partial_commands), None),
+            first_without_due(self.partial_commands),
         )
         return next((client for client in candidates if client is not None), None)
 
@@ -227,3 +235,8 @@
         if not (client in self.memory.waiting or makes_progress):
             return False
         return self.partial_commands.get(client, now) >= now - LONG_COMMAND_FACTOR * self.command_timeout_s
+
+
+def first_without_due(clients: Iterable[ClientConnection]) -> ClientConnection | None:
+    """Returns the first client that has received every reply due to it, or None."""
+    return next((client for client in clients if not client.has_due_output()), None)
--- a/tests/test_truncated_values.py
+++ b/tests/test_truncated_values.py
@@ -192,6 +192,38 @@
     assert not clients.open_transports()
 
 
+def test_newcomer_closes_no_connection_that_owes_answers(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Closing connections were the first to be aborted for a new one, with what the kernel held for them."""
+    clients = ClosingClients(monkeypatch, 8, sockets=40)  # eight connections fit
+    assert clients.harness.client() is None
+    assert len(clients.open_transports()) == 8
+    delivered = clients.transports[5]
+    clients.unacknowledged[delivered.stream] = 0
+    assert clients.harness.client() is not None
+    assert not delivered.open
+    assert len(clients.open_transports()) == 7
+    clients.harness.loop.advance(STALL_TIMEOUT_S + 0.1)
+    assert not clients.open_transports()  # in bounded time there is room again
+
+
+def test_lowered_limit_closes_connections_that_owe_answers_behind_them(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """A lowered limit aborted connections with what the kernel held for them."""
+    clients = ClosingClients(monkeypatch, 1)
+    idle_transports = [clients.harness.client() for _ in range(2)]
+    for transport in idle_transports:
+        transport.feed(PING)
+        clients.unacknowledged[transport.stream] = 1_000_000
+    clients.harness.proxy.clients.set_max_connections(1)
+    transports = [*clients.transports, *idle_transports]
+    assert [transport.eof_written for transport in transports] == [True, True, False]
+    assert all(transport.open for transport in transports)
+    clients.unacknowledged.clear()
+    clients.harness.loop.advance(STALL_TIMEOUT_S)
+    assert [transport.open for transport in transports] == [False, False, True]
+
+
 def test_input_of_a_closing_connection_is_read_at_a_bounded_rate(monkeypatch: pytest.MonkeyPatch) -> None:
     """Reading stopped for good after 128 KiB, and the close over the rest was a reset."""
     clients = ClosingClients(monkeypatch, 1)
@@ -219,3 +251,19 @@
     assert not harness.proxy.router.active_requests
     assert not harness.proxy.clients.memory.buffered_bytes
     assert not harness.proxy.router.policy.fleet_limit.in_flight
+
+
+def test_newcomer_closes_no_connection_with_half_a_command_to_which_a_reply_is_due() -> None:
+    """A client that had begun its next command lost the answer to the one before to a newcomer."""
+    harness = ProxyHarness(sockets=42).with_high_limits()
+    transports = [harness.client() for _ in range(5)]
+    for number, transport in enumerate(transports):
+        transport.feed((encode_request(key=1) if number < 4 else b"") + encode_request(key=1)[:20])
+    while harness.proxy.clients._has_capacity():
+        transports.append(harness.client())
+        transports[-1].feed(encode_request(key=1))
+    assert all(transport.stream.replies for transport in transports[:4])
+    newcomer = harness.client()
+    newcomer.feed(encode_request(key=1))
+    assert [transport.open for transport in transports[:5]] == [True, True, True, True, False]
+    assert harness.client() is None
