An error in a client's callback costs only the command that caused it

Cause: BufferedConnection.buffer_updated aborts on any exception.

Change: subclasses decide (on_callback_error). A client's connection answers the command with an error, which is honest as it may have run, reads no more, and closes behind the replies that are due. Other connections are aborted as before.

Measured: the two new tests fail before (connection closed, nothing received) and pass now.

--- a/calicofall/proxy/client_connection.py
+++ b/calicofall/proxy/client_connection.py
@@ -94,6 +94,7 @@
         self.reading_paused = False
         self.reading_paused_at = 0.0  # when reading was last paused (s, the loop's clock)
         self.held_input = HeldInput()
+        self.reply_in_progress: PendingReply | None = None  # of the command that is being processed
         self.ignores_input = False  # after QUIT, or after an error that closes the connection
         self.consecutive_errors = 0
         # Memory of an incomplete command without a long value, and of one with a long value.
@@ -198,6 +199,21 @@
             self.clients.on_closing(self)
             super().close()
 
+    def on_callback_error(self) -> None:
+        """Answers the command that failed with an error, and closes behind it; other replies stay due."""
+        reply, self.reply_in_progress = self.reply_in_progress, None
+        if self.closed or self.closing:
+            return
+        if reply is not None and reply.answer is None:
+            self.ignores_input = True
+            self.clients.on_client_disconnected(reply)
+            reply.complete(resp.encode_error("ERR internal error"))
+        else:
+            self.reject_further_input("internal error")
+        self.input.drop(len(self.input))
+        if not self.closing:
+            self._set_reading_paused(True)
+
     def has_due_output(self) -> bool:
         """Whether a reply is due, or the client has not received all that was written."""
         return bool(self.replies) or self.has_undelivered_output()
@@ -264,7 +280,9 @@
             # First, so that the command's memory passes from incomplete to complete without a gap.
             reply = self._add_reply(command_size(command))
             self.clients.update_partial_command(self, False)
+            self.reply_in_progress = reply
             self._handle_command(reply, command)
+            self.reply_in_progress = None
 
     def _has_room(self) -> bool:
         """Whether the long value that is next may be read now; else the client waits for room."""
--- a/calicofall/proxy/connection.py
+++ b/calicofall/proxy/connection.py
@@ -79,7 +79,7 @@
             self.on_data()
         except Exception as error:  # an error on one connection must not affect the others
             log.exception("connection cut", extra={"reason": repr(error)})
-            self.abort()
+            self.on_callback_error()
 
     def write(self, data: bytes) -> None:
         """Writes or queues output; a peer that reads so slowly that the queue is full is disconnected."""
@@ -196,6 +196,10 @@
     def on_data(self) -> None:
         """Called when input has been received."""
 
+    def on_callback_error(self) -> None:
+        """Called when `on_data` has raised an exception."""
+        self.abort()
+
     def on_bytes_handed_over(self) -> None:
         """Called when output may have been passed to the transport."""
 
--- a/tests/test_truncated_values.py
+++ b/tests/test_truncated_values.py
@@ -14,7 +14,7 @@
 from test_endings import SocketHarness, read_until_close, unread_bytes, wait_for_unread
 
 from calicofall.proxy import resp
-from calicofall.proxy.client_connection import MAX_PIPELINED_COMMANDS, ClientConnection
+from calicofall.proxy.client_connection import MAX_PIPELINED_COMMANDS, ClientConnection, PendingReply
 from calicofall.proxy.lingering_close import LINGER_S, MAX_CLOSING_S, MAX_DISCARDED_BYTES, STALL_TIMEOUT_S
 
 PING = resp.encode_command([b"PING"])
@@ -267,3 +267,39 @@
     newcomer.feed(encode_request(key=1))
     assert [transport.open for transport in transports[:5]] == [True, True, True, True, False]
     assert harness.client() is None
+
+
+def test_error_in_a_callback_costs_only_the_command_that_caused_it(monkeypatch: pytest.MonkeyPatch) -> None:
+    """An exception while a command was processed aborted the connection with the answers in front of it."""
+    harness = ProxyHarness().with_high_limits()
+    client = harness.client()
+    client.feed(encode_request(key=1))
+    on_request = harness.proxy.clients.on_request
+
+    def fail(reply: PendingReply, parts: list[bytes]) -> None:
+        on_request(reply, parts)
+        raise RuntimeError("planted")
+
+    monkeypatch.setattr(harness.proxy.clients, "on_request", fail)
+    client.feed(encode_request(key=1) + encode_request(key=1))
+    assert client.open
+    assert len(harness.proxy.active_requests) == 1
+    harness.connect_upstream(0).feed(encode_reply(b"in front"))
+    assert client.sent == b"$8\r\nin front\r\n-ERR internal error\r\n"
+    assert client.eof_written
+    assert not harness.proxy.active_requests
+
+
+def test_error_outside_of_a_command_leaves_the_replies_due(monkeypatch: pytest.MonkeyPatch) -> None:
+    harness = ProxyHarness().with_high_limits()
+    client = harness.client()
+    client.feed(encode_request(key=1))
+
+    def fail(_client: ClientConnection) -> None:
+        raise RuntimeError("planted")
+
+    monkeypatch.setattr(harness.proxy.clients, "on_first_byte", fail)
+    client.feed(PING)
+    harness.connect_upstream(0).feed(encode_reply(b"in front"))
+    assert client.sent == b"$8\r\nin front\r\n-ERR internal error\r\n"
+    assert client.eof_written
