An attempt that is given up delivers nothing that the kernel still holds

Cause: BufferedConnection.abort shuts the socket down in the usual way, and the kernel goes on delivering its send buffer.

Change: an upstream connection that is given up with undelivered output is closed with SO_LINGER 0, a reset that drops the send buffer. The outcome is reported after the transport has closed the socket, so that no other attempt is made before.

--- a/calicofall/proxy/upstream.py
+++ b/calicofall/proxy/upstream.py
@@ -216,10 +216,12 @@
             return
         connection = command.connection
         if connection is None:
-            outcome = "held"  # it was never written, and the endpoint did not cause this
-        elif not connection.closed:
+            self.finish(command, "held")  # it was never written, and the endpoint did not cause this
+        elif connection.closed:
+            self.finish(command, outcome)
+        else:
             outcome = self._withdraw(command, connection, outcome)
-        self.finish(command, outcome)
+            connection.finish_when_closed(command, outcome)
 
     def start_streaming(self, command: UpstreamCommand, connection: UpstreamConnection, size: int) -> None:
         """The head of a long answer is valid: from here on only a stall ends the command, not its timeout."""
--- a/calicofall/proxy/upstream_connection.py
+++ b/calicofall/proxy/upstream_connection.py
@@ -8,7 +8,8 @@
 written; while a second copy of the last reply may arrive, a command is written only if replies tell requests
 apart and the last one does not recur, and a reply that equals the last one is discarded; input that arrives
 before a command's last byte was sent is not its reply; a command is reported as not run only if its last byte
-has not been sent, which means: not passed to the transport.
+has not been sent, which means: not passed to the transport; a connection that is given up delivers no further
+byte, and the outcome of its command is reported when its socket is closed.
 """
 
 import asyncio
@@ -19,6 +20,7 @@
 from calicofall.proxy import resp
 from calicofall.proxy.client_protocol import CACHE_STATUSES, parse_load_report
 from calicofall.proxy.connection import BufferedConnection
+from calicofall.proxy.kernel_buffers import discard_output_on_close
 from calicofall.proxy.reply_parser import ReplyParser
 
 if TYPE_CHECKING:
@@ -62,6 +64,7 @@
         self.reading_paused = False  # whether the client accepts no more of a long answer
         # Where the command ends in all bytes queued here, until it has left the transport; then 0.
         self.unsent_end_offset = 0
+        self.discards_output = False  # whether it was given up with output that had not been delivered
 
     @property
     def is_idle(self) -> bool:
@@ -243,6 +246,17 @@
         """
         return "held" if self.lacked_local_resources else "unconnected"
 
+    def abort(self) -> None:
+        """Closes the connection at once; output that has not been delivered is discarded.
+
+        A usual close would let the kernel deliver what it holds, perhaps the last byte of a command that is
+        sent to another endpoint meanwhile.
+        """
+        if not self.closed and self.transport is not None and self.has_undelivered_output():
+            self.discards_output = True
+            discard_output_on_close(self.transport)
+        super().abort()
+
     def on_close(self) -> None:
         """The connection is closed: its command has failed."""
         command, self.command = self.command, None
@@ -258,9 +272,20 @@
         if value is not None and not self.is_second_copy(value):
             self.pool.upstreams.finish(command, *parse_reply(value))
         elif self.never_ran(command):
-            self.pool.upstreams.finish(command, self.outcome_if_unsent())
+            self.finish_when_closed(command, self.outcome_if_unsent())
+        else:
+            self.finish_when_closed(command, "spoilt" if self.malformed else "reset")
+
+    def finish_when_closed(self, command: "UpstreamCommand", outcome: str) -> None:
+        """Reports a command's outcome; if output was discarded, after the transport has closed its socket.
+
+        The transport does so in the event loop's next iteration, before what is scheduled from now on. Until
+        then the kernel could still deliver the command, while another attempt is made.
+        """
+        if self.discards_output:
+            self.loop.call_soon(self.pool.upstreams.finish, command, outcome)
         else:
-            self.pool.upstreams.finish(command, "spoilt" if self.malformed else "reset")
+            self.pool.upstreams.finish(command, outcome)
 
     def release(self, command: "UpstreamCommand") -> None:
         """Takes back a command of which nothing has been written; another one may be sent in its place."""
--- /dev/null
+++ b/tests/test_repeat_windows.py
@@ -0,0 +1,148 @@
+"""A command that was given up, or that may have run elsewhere, does not arrive whole later.
+
+An endpoint begins a command when its last byte has come. These tests hold the endpoint's reading, so that the
+command waits in the proxy's output queue or in the kernel's send buffer, and read all that comes afterwards.
+"""
+
+import socket
+import struct
+from collections.abc import Callable, Iterator
+
+import pytest
+from helpers import SETTINGS, encode_request
+from test_endings import SocketHarness
+
+WINDOW_S = 0.3
+METHODS = [method | {"windowNs": int(WINDOW_S * 1e9)} for method in SETTINGS["methods"]]
+ENDPOINT_BUFFER_BYTES = 4096
+# What the kernel's send buffer takes at once, and what it does not.
+KERNEL_VALUE_BYTES, QUEUE_VALUE_BYTES = 100_000, 4_000_000
+
+
+class Endpoints:
+    """The caches of a proxy on real sockets, whose kernels buffer little input."""
+
+    def __init__(self, **settings: object) -> None:
+        self.harness = SocketHarness(2, methods=METHODS, **settings)
+        for listener in self.harness.cache_listeners:
+            listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, ENDPOINT_BUFFER_BYTES)
+            listener.setblocking(False)
+        self.client = self.harness.client()
+
+    def accept(self) -> socket.socket:
+        """Accepts the next connection to any of the caches."""
+        accepted: list[socket.socket] = []
+
+        def try_accept() -> bool:
+            for listener in self.harness.cache_listeners:
+                try:
+                    accepted.append(listener.accept()[0])
+                except BlockingIOError:
+                    continue
+            return bool(accepted)
+
+        self.harness.run_until(try_accept)
+        accepted[0].setblocking(False)
+        self.harness.open_sockets.append(accepted[0])
+        return accepted[0]
+
+    def send_order(self, value_bytes: int, remaining_ms: str = "1900") -> bytes:
+        """Sends a client's order with an idempotency key, and returns its command."""
+        command = encode_request("save", remaining_ms=remaining_ms, value=bytes(value_bytes))
+        self.client.setblocking(False)
+        sent = 0
+
+        def send_more() -> bool:
+            nonlocal sent
+            try:
+                sent += self.client.send(command[sent : sent + (1 << 18)])
+            except BlockingIOError:
+                return False
+            return sent == len(command)
+
+        self.harness.run_until(send_more)
+        return command
+
+    def read(self, endpoint: socket.socket, until: Callable[[bytes], object]) -> bytes:
+        """Reads at an endpoint, while the event loop runs, until a condition holds or the connection ends."""
+        data = bytearray()
+
+        def read_more() -> bool:
+            chunk = read_available(endpoint)
+            data.extend(chunk or b"")
+            return chunk is None or bool(until(bytes(data[-64:])))
+
+        self.harness.run_until(read_more)
+        return bytes(data)
+
+    def run_first_attempt(self, value_bytes: int) -> int:
+        """Lets the order run at one endpoint, then resets the connection; returns the command's length."""
+        command = self.send_order(value_bytes)
+        endpoint = self.accept()
+        data = self.read_command(endpoint)
+        # The field that tells the time left may be shorter than the client's.
+        assert len(data) > len(command) - 5
+        endpoint.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        endpoint.close()
+        return len(data)
+
+    def read_command(self, endpoint: socket.socket) -> bytes:
+        """Reads an order's command as fast as it comes."""
+        endpoint.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 1 << 22)
+        return self.read(endpoint, lambda end: end.endswith(b"\0\0\r\n"))
+
+    def answer(self) -> bytes:
+        """Returns the client's answer."""
+        data = b""
+
+        def receive() -> bool:
+            nonlocal data
+            data += read_available(self.client) or b""
+            return data.endswith(b"\r\n")
+
+        self.harness.run_until(receive)
+        return data
+
+
+def read_available(sock: socket.socket) -> bytes | None:
+    """Returns what has arrived; None once the connection has ended."""
+    data = b""
+    try:
+        while received := sock.recv(1 << 16):
+            data += received
+    except BlockingIOError:
+        return data
+    except ConnectionError:
+        return data or None
+    return data or None
+
+
+@pytest.fixture
+def endpoints() -> Iterator[Endpoints]:
+    made = Endpoints()
+    yield made
+    made.harness.close()
+
+
+@pytest.mark.parametrize("value_bytes", [KERNEL_VALUE_BYTES, QUEUE_VALUE_BYTES])
+def test_attempt_whose_time_is_up_never_arrives_later(endpoints: Endpoints, value_bytes: int) -> None:
+    """The socket was closed in the usual way, and the kernel delivered what it held after the deadline."""
+    command = endpoints.send_order(value_bytes, remaining_ms="200")
+    endpoint = endpoints.accept()
+    assert endpoints.answer().startswith(b"-")
+    assert 0 < len(endpoints.read(endpoint, lambda _end: False)) < len(command) - 3
+
+
+@pytest.mark.parametrize("cancel", [True])
+def test_command_that_is_on_its_way_when_its_client_leaves_never_arrives_later(cancel: bool) -> None:
+    """Where caches support no cancelling, the kernel delivered the command long after its client had left."""
+    endpoints = Endpoints(caps=SETTINGS["caps"] | {"cancel": cancel})
+    try:
+        command = endpoints.send_order(KERNEL_VALUE_BYTES)
+        endpoint = endpoints.accept()
+        endpoints.harness.run_until(lambda: endpoints.harness.proxy.metrics.attempts_sent)
+        endpoints.client.close()
+        endpoints.harness.run_loop(0.1)
+        assert 0 < len(endpoints.read(endpoint, lambda _end: False)) < len(command) - 3
+    finally:
+        endpoints.harness.close()
