A command that is on its way is reset if its client leaves, also where caches do not cancel

Cause: RequestLifecycle.on_client_disconnected withdrew such a command only while its last byte had not been passed to the transport.

Change: 50 ms after the client left, a command that its cache's kernel has not acknowledged is cancelled by a reset; one that has arrived goes on, as before.

Measured: the test with cancel=False fails before (the whole command arrives) and passes now; a command that has arrived keeps its connection.

--- a/calicofall/proxy/request_lifecycle.py
+++ b/calicofall/proxy/request_lifecycle.py
@@ -33,6 +33,7 @@
 
 MAX_LATENCY_MS = 60_000  # that the histograms tell apart
 LATENCY_DIGITS = 2  # significant digits of a latency in the histograms
+UNDELIVERED_GRACE_S = 0.05  # for a command that is on its way when its client disconnects
 LOGGED_PERCENTILES = (50, 90, 99)
 log = logging.getLogger("calicofall")
 
@@ -122,6 +123,9 @@
         # Otherwise it would be sent after its client has disconnected.
         if command is not None and (cancelled_attempts or command.can_be_withdrawn()):
             self.proxy.upstreams.cancel_command(command, "cancelled")
+        elif command is not None:
+            # The endpoint may not have got all of it, and nothing further is sent for a client that has left.
+            self.proxy.loop.call_later(UNDELIVERED_GRACE_S, self.proxy.upstreams.cancel_undelivered, command)
         self.proxy.schedule_tick()
 
     # Decisions
--- a/calicofall/proxy/upstream.py
+++ b/calicofall/proxy/upstream.py
@@ -223,6 +223,12 @@
             outcome = self._withdraw(command, connection, outcome)
             connection.finish_when_closed(command, outcome)
 
+    def cancel_undelivered(self, command: UpstreamCommand) -> None:
+        """Cancels a command whose client has left, unless its endpoint has all of it."""
+        connection = command.connection
+        if connection is not None and not connection.closed and not connection.is_delivered(command):
+            self.cancel_command(command, "cancelled")
+
     def start_streaming(self, command: UpstreamCommand, connection: UpstreamConnection, size: int) -> None:
         """The head of a long answer is valid: from here on only a stall ends the command, not its timeout."""
         if not command.finished:
--- a/calicofall/proxy/upstream_connection.py
+++ b/calicofall/proxy/upstream_connection.py
@@ -246,6 +246,10 @@
         """
         return "held" if self.lacked_local_resources else "unconnected"
 
+    def is_delivered(self, command: "UpstreamCommand") -> bool:
+        """Whether the endpoint's kernel has acknowledged the whole command."""
+        return not (self.never_ran(command) or self.has_undelivered_output())
+
     def abort(self) -> None:
         """Closes the connection at once; output that has not been delivered is discarded.
 
--- a/tests/test_repeat_windows.py
+++ b/tests/test_repeat_windows.py
@@ -6,12 +6,15 @@
 
 import socket
 import struct
+import time
 from collections.abc import Callable, Iterator
+from random import Random
 
 import pytest
-from helpers import SETTINGS, encode_request
+from helpers import SETTINGS, FakeEventLoop, ProxyHarness, encode_reply, encode_request
 from test_endings import SocketHarness
 
+
 WINDOW_S = 0.3
 METHODS = [method | {"windowNs": int(WINDOW_S * 1e9)} for method in SETTINGS["methods"]]
 ENDPOINT_BUFFER_BYTES = 4096
@@ -133,7 +136,7 @@
     assert 0 < len(endpoints.read(endpoint, lambda _end: False)) < len(command) - 3
 
 
-@pytest.mark.parametrize("cancel", [True])
+@pytest.mark.parametrize("cancel", [True, False])
 def test_command_that_is_on_its_way_when_its_client_leaves_never_arrives_later(cancel: bool) -> None:
     """Where caches support no cancelling, the kernel delivered the command long after its client had left."""
     endpoints = Endpoints(caps=SETTINGS["caps"] | {"cancel": cancel})
@@ -146,3 +149,18 @@
         assert 0 < len(endpoints.read(endpoint, lambda _end: False)) < len(command) - 3
     finally:
         endpoints.harness.close()
+
+
+def test_command_that_has_arrived_goes_on_when_its_client_leaves_if_caches_do_not_cancel() -> None:
+    endpoints = Endpoints(caps=SETTINGS["caps"] | {"cancel": False})
+    try:
+        endpoints.send_order(1000)
+        endpoint = endpoints.accept()
+        endpoints.read_command(endpoint)
+        endpoints.client.close()
+        endpoints.harness.run_loop(0.15)
+        assert read_available(endpoint) == b""  # the connection is open
+    finally:
+        endpoints.harness.close()
+
+
