A repeat that is on its way when its window ends never arrives whole

Cause: the window is checked before the first byte, and a cache begins a command at its last one. Nothing ended a command that was still on its way when the window ended.

Change: BoundedDelivery, a module of its own, writes such a repeat: the last 1,024 bytes are withheld until the cache's kernel has acknowledged all before them, and go 10 ms before the window's end at the latest, after asking again whether the command may be sent. What has not arrived by the window's end is reset, one that waits for a connection is ended then, and the request ends at once. Counter late_repeats and a log line tell it from a slow cache. Router.repeat_ends_at tells the window; decisions are as they were.

--- a/calicofall/proxy/connection.py
+++ b/calicofall/proxy/connection.py
@@ -81,7 +81,7 @@
             log.exception("connection cut", extra={"reason": repr(error)})
             self.on_callback_error()
 
-    def write(self, data: bytes) -> None:
+    def write(self, data: bytes | memoryview) -> None:
         """Writes or queues output; a peer that reads so slowly that the queue is full is disconnected."""
         if self.closed or self.closing:
             return
--- a/calicofall/proxy/metrics.py
+++ b/calicofall/proxy/metrics.py
@@ -20,6 +20,7 @@
         self.memory_waits = 0  # long commands that waited for memory before their value was read
         self.memory_wait_ms = 0  # how long these waited, in total
         self.memory_refusals = 0  # of these, refused since their time was running out
+        self.late_repeats = 0  # repeats given up, as they could not arrive while the first run is remembered
         self.truncated_values = 0  # values that broke off after a part of them was sent to the client
         self.undelivered_closes = 0  # clients' connections that ended before the client had all output
         self.connection_waits = 0  # attempts that found no free connection and waited for one
@@ -55,6 +56,7 @@
             f"proxy.sends:{self.attempts_sent}|c",
             f"proxy.connection_waits:{self.connection_waits}|c",
             f"proxy.second_copies:{self.second_copies}|c",
+            f"proxy.late_repeats:{self.late_repeats}|c",
             f"proxy.truncated_values:{self.truncated_values}|c",
             f"proxy.undelivered_closes:{self.undelivered_closes}|c",
             f"proxy.memory_waits:{self.memory_waits}|c",
--- a/calicofall/proxy/request_lifecycle.py
+++ b/calicofall/proxy/request_lifecycle.py
@@ -192,6 +192,11 @@
             self.proxy.now_ms(), active_request.request, command.attempt_index
         )
 
+    def arrives_by(self, command: UpstreamCommand) -> float:
+        """Returns when a command's last byte has to have arrived (s, the loop's clock); may be infinite."""
+        ends_at_ms = self.router.repeat_ends_at(command.active_request.request, command.attempt_index)
+        return (ends_at_ms - self.proxy.wall_clock_offset_ms) / 1000.0
+
     def find_sink(
         self, command: UpstreamCommand, size: int, request_next_chunk: Callable[[], None]
     ) -> PendingReply | None:
--- a/calicofall/proxy/server.py
+++ b/calicofall/proxy/server.py
@@ -248,6 +248,7 @@
             self.now_ms() / 1000.0 - self.loop.time(),
         )
         self.upstreams.may_send = self.requests.may_send
+        self.upstreams.arrives_by = self.requests.arrives_by
         self.clients = ClientConnections(
             self.loop,
             max_connections,
--- a/calicofall/proxy/upstream.py
+++ b/calicofall/proxy/upstream.py
@@ -8,6 +8,7 @@
 import asyncio
 import logging
 from collections.abc import Callable, Mapping
+from math import inf
 from typing import Any
 
 from calicofall.config.addresses import parse_address
@@ -83,6 +84,8 @@
         )
         # Called right before a command is written.
         self.may_send: Callable[[UpstreamCommand], bool] = lambda command: True
+        # Called right before a command is written: when its last byte has to have arrived (s, loop time).
+        self.arrives_by: Callable[[UpstreamCommand], float] = lambda command: inf
         # Whether the budget of descriptors shared with clients allows one more connection.
         self.shared_budget_has_capacity: Callable[[], bool] = lambda: True
         self.in_flight_quota: InFlightQuota | None = None  # None if the settings set no limit
@@ -93,6 +96,7 @@
         self.endpoint_names: set[str] = set()  # in the list, ready or draining
         self.malformed_count = 0  # malformed replies since the last log line about them
         self.next_log_at = 0.0
+        self.next_repeat_log_at = 0.0
 
     def log_malformed_reply(self, name: str, reason: str) -> None:
         """Logs malformed replies, at most one line per interval with their number."""
@@ -196,6 +200,9 @@
         # Before the command is sent: if it fails at once, the next attempt is made within this call.
         active_request.command = command
         command.timer = self.loop.call_at(answer_due_at, self.cancel_command, command, "timeout")
+        arrives_by = self.arrives_by(command)
+        if arrives_by < inf:
+            command.unsent_repeat_timer = self.loop.call_at(arrives_by, self.end_unsent_repeat, command)
         pool = self.pools.get(name)
         if pool is None or not pool.accepts_requests or pool.address is None:
             self.loop.call_soon(self.finish, command, "unconnected")
@@ -223,6 +230,23 @@
             outcome = self._withdraw(command, connection, outcome)
             connection.finish_when_closed(command, outcome)
 
+    def end_unsent_repeat(self, command: UpstreamCommand) -> None:
+        """Ends a repeat that waits for a connection, or for its opening, at the end of its window."""
+        if not (command.finished or command.end_offset):
+            self._count_late_repeat(command)
+            self.cancel_command(command, "held")
+
+    def end_late_repeat(self, command: UpstreamCommand) -> None:
+        """Ends a repeat that cannot arrive while the first run is remembered, and counts it.
+
+        It says nothing of the endpoint if the command's end was never sent.
+        """
+        connection = command.connection
+        if command.finished or connection is None or connection.closed:
+            return
+        self._count_late_repeat(command)
+        self.cancel_command(command, "held" if connection.never_ran(command) else "timeout")
+
     def cancel_undelivered(self, command: UpstreamCommand) -> None:
         """Cancels a command whose client has left, unless its endpoint has all of it."""
         connection = command.connection
@@ -255,6 +279,8 @@
         if command.waiting_pool is not None:
             command.waiting_pool.stop_waiting(command)
         command.timer.cancel()
+        if command.unsent_repeat_timer is not None:
+            command.unsent_repeat_timer.cancel()
         if command.sink is not None and connection is not None and not connection.closed:
             self.loop.call_soon(connection.resume_streaming)  # the rest of the answer is read and discarded
         self.on_outcome(command, outcome, answer, cache_status, load_report)
@@ -279,6 +305,22 @@
             for connection in list(pool.connections):
                 connection.abort()
 
+    def _count_late_repeat(self, command: UpstreamCommand) -> None:
+        self.metrics.late_repeats += 1
+        now = self.loop.time()
+        if now < self.next_repeat_log_at:
+            return
+        request = command.active_request.request
+        log.warning(
+            "repeats given up",
+            extra={
+                "count": self.metrics.late_repeats,
+                "cache": request.attempts[command.attempt_index].endpoint,
+                "method": request.name,
+            },
+        )
+        self.next_repeat_log_at = now + LOG_INTERVAL_S
+
     def _apply_entry(self, entry: tuple[Any, ...], addresses: dict[str, str]) -> None:
         name = entry[0]
         state = entry[4]
--- a/calicofall/proxy/upstream_command.py
+++ b/calicofall/proxy/upstream_command.py
@@ -41,6 +41,7 @@
         "connection",
         "waiting_pool",
         "timer",
+        "unsent_repeat_timer",
         "finished",
         "sink",
         "streaming",
@@ -64,6 +65,7 @@
         self.connection: UpstreamConnection | None = None
         self.waiting_pool: ConnectionPool | None = None  # in which it waits for a connection
         self.timer: asyncio.TimerHandle  # of the timeout; set by the sender right after the construction
+        self.unsent_repeat_timer: asyncio.TimerHandle | None = None  # ends a repeat that was not written
         self.finished = False
         self.sink: AnswerSink | None = None  # of a long answer
         self.streaming = False  # whether a part of the answer has been forwarded
--- a/calicofall/proxy/upstream_connection.py
+++ b/calicofall/proxy/upstream_connection.py
@@ -13,11 +13,13 @@
 """
 
 import asyncio
+from math import inf
 from select import POLLIN, poll
 from typing import TYPE_CHECKING, Any
 
 from calicofall.invariants import check_invariant
 from calicofall.proxy import resp
+from calicofall.proxy.bounded_delivery import HAND_OVER_MARGIN_S, BoundedDelivery
 from calicofall.proxy.client_protocol import CACHE_STATUSES, parse_load_report
 from calicofall.proxy.connection import BufferedConnection
 from calicofall.proxy.kernel_buffers import discard_output_on_close
@@ -64,6 +66,8 @@
         self.reading_paused = False  # whether the client accepts no more of a long answer
         # Where the command ends in all bytes queued here, until it has left the transport; then 0.
         self.unsent_end_offset = 0
+        # Of a command that must not arrive late; None for any other, and once there is no such command.
+        self.bounded_delivery: BoundedDelivery | None = None
         self.discards_output = False  # whether it was given up with output that had not been delivered
 
     @property
@@ -166,6 +170,7 @@
             return
         self._remember_reply(value)
         self.command = None
+        self._end_delivery()
         self.become_idle()
         # If the command was cancelled, this reports nothing: its reply is discarded.
         self.pool.upstreams.finish(command, *parse_reply(value))
@@ -264,6 +269,7 @@
     def on_close(self) -> None:
         """The connection is closed: its command has failed."""
         command, self.command = self.command, None
+        self._end_delivery()
         if self.stall_timer is not None:
             self.stall_timer.cancel()
         self.pool.on_connection_closed(self)
@@ -303,7 +309,9 @@
         # disconnected, other settings may have come into effect, or the time may have ended in which a repeat
         # of the request is safe.
         left_s = command.answer_due_at - self.loop.time()
-        if left_s <= 0.0 or not self.pool.upstreams.may_send(command):
+        arrives_by = self.pool.upstreams.arrives_by(command)
+        is_late = left_s <= 0.0 or self.loop.time() >= arrives_by - HAND_OVER_MARGIN_S
+        if is_late or not self.pool.upstreams.may_send(command):
             if self.command is command:  # not cancelled meanwhile, as its client has disconnected
                 command.connection = None  # it may still time out, or be cancelled, before its outcome
                 self.release(command)
@@ -313,9 +321,23 @@
         command.end_offset = self.queued_bytes + sum(map(len, chunks))
         self.unsent_end_offset = command.end_offset
         self.compares_reply = self.last_fingerprint is not None and self.loop.time() < self.settled_at
+        if arrives_by < inf:
+            self.bounded_delivery = BoundedDelivery(
+                self,
+                chunks,
+                arrives_by,
+                lambda: self.pool.upstreams.may_send(command),
+                lambda: self.pool.upstreams.end_late_repeat(command),
+            )
+            return
         for chunk in chunks:
             self.write(chunk)
 
+    def _end_delivery(self) -> None:
+        if self.bounded_delivery is not None:
+            self.bounded_delivery.cancel()
+            self.bounded_delivery = None
+
     def _start_stall_timer(self) -> None:
         """Records progress, and starts the check that an incomplete reply does not stall."""
         self.progress_at = self.loop.time()
--- a/calicofall/routing/retry_policy.py
+++ b/calicofall/routing/retry_policy.py
@@ -4,6 +4,7 @@
 """
 
 from collections.abc import Mapping
+from math import inf
 from random import Random
 from typing import Any
 
@@ -59,19 +60,25 @@
         self.attempts_per_request = rules.get("retry_ratio") or 0.0
 
 
-def is_repeat_safe(now: float, method: MethodSettings, first_attempt: Attempt | None) -> bool:
-    """Returns whether another attempt cannot make a request take effect twice.
+def repeat_ends_at(method: MethodSettings, first_attempt: Attempt | None) -> float:
+    """Returns the time from which another attempt could make a request take effect twice (ms).
+
+    It is infinite if another attempt is always safe, and minus infinity if it never is.
 
     Args:
-        now: Current time (ms).
         method: Settings of the request's method.
         first_attempt: First attempt that may have run, if any.
     """
     if first_attempt is None or method.retry_safety == RetrySafety.IDEMPOTENT:
-        return True
+        return inf
     if method.retry_safety != RetrySafety.IDEMPOTENCY_KEY:
-        return False
-    return now < first_attempt.sent_at + method.idempotency_window_ms
+        return -inf
+    return first_attempt.sent_at + method.idempotency_window_ms
+
+
+def is_repeat_safe(now: float, method: MethodSettings, first_attempt: Attempt | None) -> bool:
+    """Returns whether another attempt cannot make a request take effect twice; see `repeat_ends_at`."""
+    return now < repeat_ends_at(method, first_attempt)
 
 
 class RetryPolicy:
--- a/calicofall/routing/router.py
+++ b/calicofall/routing/router.py
@@ -8,6 +8,7 @@
 """
 
 from heapq import heappop, heappush
+from math import inf
 from typing import Any
 
 from calicofall.fleet import settings_compatibility
@@ -24,7 +25,7 @@
     AttemptOutcome,
     Request,
 )
-from calicofall.routing.retry_policy import is_repeat_safe
+from calicofall.routing.retry_policy import repeat_ends_at
 from calicofall.routing.settings import RawMethod
 from calicofall.startup import snapshot
 
@@ -321,9 +322,18 @@
             return True
         if not endpoint.satisfies(self.policy.placement.constraints[request.method]):
             return False
+        return now < self.repeat_ends_at(request, attempt_index)
+
+    def repeat_ends_at(self, request: Request, attempt_index: int) -> float:
+        """Returns when the last byte of an attempt has to have arrived, so that it takes no second effect.
+
+        Returns:
+            A time (ms, the proxy's clock); infinite if the attempt is no repeat, or its request idempotent.
+        """
         first = request.first_possibly_run()
-        method = self.policy.settings.by_method[request.method]
-        return first is attempt or is_repeat_safe(now, method, first)
+        if first is request.attempts[attempt_index]:
+            return inf
+        return repeat_ends_at(self.policy.settings.by_method[request.method], first)
 
     def latency_objective(self, request: Request) -> float:
         """Returns the latency objective of a request (ms)."""
--- a/tests/test_repeat_windows.py
+++ b/tests/test_repeat_windows.py
@@ -14,6 +14,7 @@
 from helpers import SETTINGS, FakeEventLoop, ProxyHarness, encode_reply, encode_request
 from test_endings import SocketHarness
 
+from calicofall.proxy.bounded_delivery import HAND_OVER_MARGIN_S, WITHHELD_BYTES, BoundedDelivery, split_end
 
 WINDOW_S = 0.3
 METHODS = [method | {"windowNs": int(WINDOW_S * 1e9)} for method in SETTINGS["methods"]]
@@ -127,6 +128,50 @@
     made.harness.close()
 
 
+@pytest.mark.parametrize("value_bytes", [KERNEL_VALUE_BYTES, QUEUE_VALUE_BYTES])
+def test_repeat_that_is_still_being_written_at_the_end_of_its_window_never_arrives(
+    endpoints: Endpoints, value_bytes: int
+) -> None:
+    """A repeat was begun in time, and its last byte arrived long after the first run was forgotten."""
+    command_bytes = endpoints.run_first_attempt(value_bytes)
+    repeat = endpoints.accept()
+    began_at = time.monotonic()
+    answer = endpoints.answer()  # meanwhile nothing is read
+    assert time.monotonic() - began_at < WINDOW_S + 0.1
+    assert answer.startswith(b"-")
+    data = endpoints.read(repeat, lambda _end: False)
+    assert 0 < len(data) < command_bytes
+    assert endpoints.harness.proxy.metrics.late_repeats == 1
+    assert not endpoints.harness.proxy.router.active_requests
+
+
+def test_repeat_does_not_arrive_late_though_the_process_is_stopped(endpoints: Endpoints) -> None:
+    """The kernel goes on sending while the process is stopped over the end of the window."""
+    command_bytes = endpoints.run_first_attempt(KERNEL_VALUE_BYTES)
+    repeat = endpoints.accept()
+    endpoints.harness.run_loop(0.02)
+    data, stopped_until = b"", time.monotonic() + 2 * WINDOW_S
+    while time.monotonic() < stopped_until:  # the event loop does not run
+        data += read_available(repeat) or b""
+        time.sleep(0.005)
+    assert len(data) == command_bytes - WITHHELD_BYTES
+    data += endpoints.read(repeat, lambda _end: False)
+    assert len(data) == command_bytes - WITHHELD_BYTES
+    assert endpoints.answer().startswith(b"-")
+
+
+@pytest.mark.parametrize("value_bytes", [2, WITHHELD_BYTES, 10_000, KERNEL_VALUE_BYTES, QUEUE_VALUE_BYTES])
+def test_repeat_that_arrives_in_time_is_answered(endpoints: Endpoints, value_bytes: int) -> None:
+    """A mend that never repeats long commands would serve less than before."""
+    command_bytes = endpoints.run_first_attempt(value_bytes)
+    repeat = endpoints.accept()
+    data = endpoints.read_command(repeat)
+    assert abs(len(data) - command_bytes) <= 3
+    repeat.sendall(encode_reply(b"receipt"))
+    assert endpoints.answer() == b"$7\r\nreceipt\r\n"
+    assert endpoints.harness.proxy.metrics.late_repeats == 0
+
+
 @pytest.mark.parametrize("value_bytes", [KERNEL_VALUE_BYTES, QUEUE_VALUE_BYTES])
 def test_attempt_whose_time_is_up_never_arrives_later(endpoints: Endpoints, value_bytes: int) -> None:
     """The socket was closed in the usual way, and the kernel delivered what it held after the deadline."""
@@ -164,3 +209,77 @@
         endpoints.harness.close()
 
 
+@pytest.mark.parametrize("left_s", [0.0, HAND_OVER_MARGIN_S - 0.001])
+def test_repeat_is_not_begun_if_hardly_any_of_its_window_is_left(left_s: float) -> None:
+    harness = ProxyHarness(
+        methods=METHODS, caps=SETTINGS["caps"] | {"dialTimeoutNs": 2_000_000_000}
+    ).with_high_limits()
+    client = harness.client()
+    client.feed(encode_request("save"))
+    harness.connect_upstream().feed(b"-ERR failed\r\n")  # it may have run
+    harness.loop.advance(WINDOW_S - left_s)
+    assert not harness.connect_upstream().sent
+    harness.loop.advance(0.02)
+    assert client.sent.startswith(b"-")
+    assert not harness.proxy.active_requests
+
+
+class FakeConnection:
+    """A connection whose endpoint acknowledges output when the test says so."""
+
+    def __init__(self, loop: FakeEventLoop) -> None:
+        self.loop, self.closed = loop, False
+        self.written, self.acknowledged_bytes, self.written_at = b"", 0, 0.0
+
+    def write(self, data: bytes | memoryview) -> None:
+        self.written += data
+        self.written_at = self.loop.time()
+
+    def has_undelivered_output(self) -> bool:
+        return self.acknowledged_bytes < len(self.written)
+
+
+def test_bounded_delivery_passes_the_last_byte_on_in_time_or_never() -> None:
+    """Draws lengths, rates and windows; the end is written behind acknowledged bytes alone."""
+    outcomes = [deliver_by_chance(Random(seed)) for seed in range(200)]
+    assert 20 < sum(outcomes) < 180  # both kinds were played
+
+
+def deliver_by_chance(random: Random) -> bool:
+    """Delivers one drawn command, and returns whether it arrived."""
+    loop = FakeEventLoop()
+    connection, failures = FakeConnection(loop), []
+    command = random.randbytes(random.choice([1, 500, WITHHELD_BYTES, 5000, 60_000]))
+    ends_at = loop.time() + random.uniform(0.011, 0.4)
+    rate = 10 ** random.uniform(4, 7)
+    cut = random.randrange(len(command))
+    BoundedDelivery(
+        connection,
+        [command[:cut], command[cut:]],
+        ends_at,
+        lambda: True,
+        lambda: failures.append(loop.time()),
+    )
+    while loop.time() < ends_at + 0.1:
+        had_acknowledged, had_written = connection.acknowledged_bytes, len(connection.written)
+        loop.advance(0.001)
+        if len(connection.written) > had_written:
+            assert had_acknowledged == had_written
+        if not failures:
+            acknowledged_bytes = connection.acknowledged_bytes + int(rate * 0.001)
+            connection.acknowledged_bytes = min(len(connection.written), acknowledged_bytes)
+    has_arrived = connection.acknowledged_bytes == len(command)
+    if connection.written == command:
+        assert connection.written_at <= ends_at - HAND_OVER_MARGIN_S
+    else:
+        assert connection.written == command[:-WITHHELD_BYTES]
+    assert len(failures) == (not has_arrived)
+    return has_arrived
+
+
+@pytest.mark.parametrize("sizes", [[0, 10], [5, 5], [100], [2000, 3], [0, 0, 1024], [1024, 1]])
+def test_split_end_loses_no_byte(sizes: list[int]) -> None:
+    chunks = [Random(index).randbytes(size) for index, size in enumerate(sizes)]
+    beginning, end = split_end(chunks, WITHHELD_BYTES)
+    assert b"".join(beginning) + end == b"".join(chunks)
+    assert len(end) == min(WITHHELD_BYTES, sum(sizes))
