--- a/calicofall/proxy/upstream_connection.py
+++ b/calicofall/proxy/upstream_connection.py
@@ -8,17 +8,21 @@
 written; while a second copy of the last reply may arrive, a command is written only if replies tell requests
 apart and the last one does not recur, and a reply that equals the last one is discarded; input that arrives
 before a command's last byte was sent is not its reply; a command is reported as not run only if its last byte
-has not been sent, which means: not passed to the transport.
+has not been sent, which means: not passed to the transport; a connection that is given up delivers no further
+byte, and the outcome of its command is reported when its socket is closed.
 """
 
 import asyncio
+from math import inf
 from select import POLLIN, poll
 from typing import TYPE_CHECKING, Any
 
 from calicofall.invariants import check_invariant
 from calicofall.proxy import resp
+from calicofall.proxy.bounded_delivery import HAND_OVER_MARGIN_S, BoundedDelivery
 from calicofall.proxy.client_protocol import CACHE_STATUSES, parse_load_report
 from calicofall.proxy.connection import BufferedConnection
+from calicofall.proxy.kernel_buffers import discard_output_on_close
 from calicofall.proxy.reply_parser import ReplyParser
 
 if TYPE_CHECKING:
@@ -62,6 +66,9 @@
         self.reading_paused = False  # whether the client accepts no more of a long answer
         # Where the command ends in all bytes queued here, until it has left the transport; then 0.
         self.unsent_end_offset = 0
+        # Of a command that must not arrive late; None for any other, and once there is no such command.
+        self.bounded_delivery: BoundedDelivery | None = None
+        self.discards_output = False  # whether it was given up with output that had not been delivered
 
     @property
     def is_idle(self) -> bool:
@@ -163,6 +170,7 @@
             return
         self._remember_reply(value)
         self.command = None
+        self._end_delivery()
         self.become_idle()
         # If the command was cancelled, this reports nothing: its reply is discarded.
         self.pool.upstreams.finish(command, *parse_reply(value))
@@ -243,9 +251,25 @@
         """
         return "held" if self.lacked_local_resources else "unconnected"
 
+    def is_delivered(self, command: "UpstreamCommand") -> bool:
+        """Whether the endpoint's kernel has acknowledged the whole command."""
+        return not (self.never_ran(command) or self.has_undelivered_output())
+
+    def abort(self) -> None:
+        """Closes the connection at once; output that has not been delivered is discarded.
+
+        A usual close would let the kernel deliver what it holds, perhaps the last byte of a command that is
+        sent to another endpoint meanwhile.
+        """
+        if not self.closed and self.transport is not None and self.has_undelivered_output():
+            self.discards_output = True
+            discard_output_on_close(self.transport)
+        super().abort()
+
     def on_close(self) -> None:
         """The connection is closed: its command has failed."""
         command, self.command = self.command, None
+        self._end_delivery()
         if self.stall_timer is not None:
             self.stall_timer.cancel()
         self.pool.on_connection_closed(self)
@@ -258,9 +282,20 @@
         if value is not None and not self.is_second_copy(value):
             self.pool.upstreams.finish(command, *parse_reply(value))
         elif self.never_ran(command):
-            self.pool.upstreams.finish(command, self.outcome_if_unsent())
+            self.finish_when_closed(command, self.outcome_if_unsent())
+        else:
+            self.finish_when_closed(command, "spoilt" if self.malformed else "reset")
+
+    def finish_when_closed(self, command: "UpstreamCommand", outcome: str) -> None:
+        """Reports a command's outcome; if output was discarded, after the transport has closed its socket.
+
+        The transport does so in the event loop's next iteration, before what is scheduled from now on. Until
+        then the kernel could still deliver the command, while another attempt is made.
+        """
+        if self.discards_output:
+            self.loop.call_soon(self.pool.upstreams.finish, command, outcome)
         else:
-            self.pool.upstreams.finish(command, "spoilt" if self.malformed else "reset")
+            self.pool.upstreams.finish(command, outcome)
 
     def release(self, command: "UpstreamCommand") -> None:
         """Takes back a command of which nothing has been written; another one may be sent in its place."""
@@ -274,7 +309,9 @@
         # disconnected, other settings may have come into effect, or the time may have ended in which a repeat
         # of the request is safe.
         left_s = command.answer_due_at - self.loop.time()
-        if left_s <= 0.0 or not self.pool.upstreams.may_send(command):
+        arrives_by = self.pool.upstreams.arrives_by(command)
+        is_late = left_s <= 0.0 or self.loop.time() >= arrives_by - HAND_OVER_MARGIN_S
+        if is_late or not self.pool.upstreams.may_send(command):
             if self.command is command:  # not cancelled meanwhile, as its client has disconnected
                 command.connection = None  # it may still time out, or be cancelled, before its outcome
                 self.release(command)
@@ -284,9 +321,23 @@
         command.end_offset = self.queued_bytes + sum(map(len, chunks))
         self.unsent_end_offset = command.end_offset
         self.compares_reply = self.last_fingerprint is not None and self.loop.time() < self.settled_at
+        if arrives_by < inf:
+            self.bounded_delivery = BoundedDelivery(
+                self,
+                chunks,
+                arrives_by,
+                lambda: self.pool.upstreams.may_send(command),
+                lambda: self.pool.upstreams.end_late_repeat(command),
+            )
+            return
         for chunk in chunks:
             self.write(chunk)
 
+    def _end_delivery(self) -> None:
+        if self.bounded_delivery is not None:
+            self.bounded_delivery.cancel()
+            self.bounded_delivery = None
+
     def _start_stall_timer(self) -> None:
         """Records progress, and starts the check that an incomplete reply does not stall."""
         self.progress_at = self.loop.time()
