A deduped request that may have run is not refused as harmless after its window

Cause: RetryPolicy.give_up looked at the group that drops repeats, and not at the window.

Change: such a request is rejected while a repeat is safe, and fails after it.

--- a/calicofall/routing/policy.py
+++ b/calicofall/routing/policy.py
@@ -146,11 +146,11 @@
         if request.within_quota is None:  # the first decision on this request
             self._on_new_request(now, request)
         if len(request.attempts) >= self.settings.max_attempts:
-            return self._give_up(request, method)
+            return self._give_up(now, request, method)
         if self.timeouts.remaining_ms(now, request, method) <= MIN_REMAINING_MS:
-            return self._give_up(request, method)
+            return self._give_up(now, request, method)
         if not self.retries.may_send(now, request, method):
-            return self._give_up(request, method)
+            return self._give_up(now, request, method)
         if self.deployment.look_aside and (request.write or request.cache_missed):
             return self._decide_for_origin(now, request, method)
         return self._decide_for_cache(now, request, method)
@@ -189,7 +189,7 @@
         # a wait would not help.
         if endpoint is None:
             if has_capacity:
-                return self._give_up(request, method)
+                return self._give_up(now, request, method)
             return self._wait_or_give_up(now, request, method)
         probability = self._origin_probability(now, request, endpoint)
         # A request that may need the origin waits for capacity there, so that fetches do not overload it.
@@ -242,13 +242,13 @@
                 RETRY_QUEUEING_TIMEOUT_FRACTION if request.attempts else QUEUEING_TIMEOUT_FRACTION
             ) * method.latency_objective_ms
         if now - request.arrived_at >= queueing_timeout_ms:
-            return self._give_up(request, method)
+            return self._give_up(now, request, method)
         if self.timeouts.remaining_ms(now, request, method) <= MIN_REMAINING_TO_WAIT_MS:
-            return self._give_up(request, method)
+            return self._give_up(now, request, method)
         return Wait(CAPACITY_WAIT_MS)
 
-    def _give_up(self, request: Request, method: MethodSettings) -> Reject | Fail:
-        return self.retries.give_up(request, method, self.random_generator)
+    def _give_up(self, now: float, request: Request, method: MethodSettings) -> Reject | Fail:
+        return self.retries.give_up(now, request, method, self.random_generator)
 
     # Outcomes
 
@@ -334,13 +334,13 @@
         if endpoint is None and outcome in (AttemptOutcome.FULL, AttemptOutcome.UNCONNECTED):
             return self._wait_or_give_up(now, request, method)
         if self._client_has_given_up(request, outcome, latency_ms):
-            return self._give_up(request, method)
+            return self._give_up(now, request, method)
         if outcome in FREE_RETRY_OUTCOMES:
             return self.decide(now, request)
         remaining_ms = self.timeouts.remaining_ms(now, request, method)
         if self.retries.may_retry(now, request, outcome, remaining_ms, self.random_generator):
             return self.decide(now, request)
-        return self._give_up(request, method)
+        return self._give_up(now, request, method)
 
     def _client_has_given_up(self, request: Request, outcome: AttemptOutcome, latency_ms: float) -> bool:
         """Returns whether the client stopped waiting by its own clock, which differs from the proxy's.
--- a/calicofall/routing/retry_policy.py
+++ b/calicofall/routing/retry_policy.py
@@ -175,14 +175,18 @@
                 return True
         return False
 
-    def give_up(self, request: Request, method: MethodSettings, random_generator: Random) -> Reject | Fail:
+    def give_up(
+        self, now: float, request: Request, method: MethodSettings, random_generator: Random
+    ) -> Reject | Fail:
         """Rejects a request that its client may safely repeat, and fails any other."""
-        retry_safety = method.retry_safety
-        if (
-            retry_safety == RetrySafety.IDEMPOTENT
-            or request.first_possibly_run() is None
-            or (retry_safety == RetrySafety.IDEMPOTENCY_KEY and method.deduplication_group == "all")
-        ):
+        first_attempt = request.first_possibly_run()
+        # Which endpoint gets the client's repeat is not known.
+        is_any_endpoint_safe = (
+            first_attempt is None
+            or method.retry_safety == RetrySafety.IDEMPOTENT
+            or method.deduplication_group == "all"
+        )
+        if is_any_endpoint_safe and is_repeat_safe(now, method, first_attempt):
             return Reject(self._settings.max_retry_after_ms * random_generator.uniform(0.3, 0.6))
         return Fail()
 
--- a/tests/test_routing_components.py
+++ b/tests/test_routing_components.py
@@ -311,23 +311,26 @@
 
 
 @pytest.mark.parametrize(
-    ("method", "outcome", "decision"),
+    ("method", "outcome", "now", "decision"),
     [
-        pytest.param(READ, AttemptOutcome.TIMEOUT, Reject, id="idempotent"),
-        pytest.param(SAVE, AttemptOutcome.TIMEOUT, Reject, id="idempotency key in a group of all"),
-        pytest.param(ORDER, AttemptOutcome.TIMEOUT, Fail, id="not idempotent, may have run"),
-        pytest.param(ORDER, AttemptOutcome.FULL, Reject, id="not idempotent, never ran"),
+        pytest.param(READ, AttemptOutcome.TIMEOUT, 9000.0, Reject, id="idempotent"),
+        pytest.param(SAVE, AttemptOutcome.TIMEOUT, 4999.0, Reject, id="idempotency key in a group of all"),
+        pytest.param(SAVE, AttemptOutcome.TIMEOUT, 5000.0, Fail, id="idempotency key, after its window"),
+        pytest.param(SAVE, AttemptOutcome.FULL, 9000.0, Reject, id="idempotency key, never ran"),
+        pytest.param(ORDER, AttemptOutcome.TIMEOUT, 1.0, Fail, id="not idempotent, may have run"),
+        pytest.param(ORDER, AttemptOutcome.FULL, 1.0, Reject, id="not idempotent, never ran"),
     ],
 )
 def test_give_up_rejects_only_requests_that_are_safe_to_repeat(
-    method: MethodSettings, outcome: AttemptOutcome, decision: type[Reject | Fail]
+    method: MethodSettings, outcome: AttemptOutcome, now: float, decision: type[Reject | Fail]
 ) -> None:
+    """A deduped request that may have run was rejected after its window: repeating it is not harmless."""
     settings = RoutingSettings(deployment_settings())
     retries = RetryPolicy(settings, LatencyBaselines([], 500.0), 1, Random(1))
     request = make_request("read")
     request.attempts.append(Attempt("c1", 0.0, outcome=outcome))
 
-    result = retries.give_up(request, method, Random(2))
+    result = retries.give_up(now, request, method, Random(2))
 
     assert type(result) is decision
     if isinstance(result, Reject):
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -114,11 +114,17 @@
             and now < request.expires_at
         )
 
-    def may_reject(self, request: Request) -> bool:
+    def may_reject(self, now: float, request: Request) -> bool:
         method = self.methods[request.method]
-        is_deduplicated = method["repeats"] == "deduped" and method["group"] == "all"
-        never_ran = all(outcome in NEVER_RAN for _, _, outcome in self.history.get(request.id, []))
-        return method["repeats"] == "retriable" or is_deduplicated or never_ran
+        possibly_run_at = [
+            at_ms for at_ms, _, outcome in self.history.get(request.id, []) if outcome not in NEVER_RAN
+        ]
+        is_deduplicated = (
+            method["repeats"] == "deduped"
+            and method["group"] == "all"
+            and all(now < at_ms + method["window"] for at_ms in possibly_run_at)
+        )
+        return method["repeats"] == "retriable" or is_deduplicated or not possibly_run_at
 
 
 @pytest.mark.parametrize("seed", range(24))
@@ -173,7 +179,7 @@
             assert now + decision.delay_ms < request.expires_at
             waiting.append((now + decision.delay_ms, request))
         else:
-            assert isinstance(decision, Fail) or model.may_reject(request)
+            assert isinstance(decision, Fail) or model.may_reject(now, request)
             model.answered.add(request.id)
             request.finished = True
 
