A deduped request is refused only if its client is to come back within its window

What callers would see: -BUSY MS ("harmless, after MS milliseconds") for an order that may have run, with MS beyond the time in which caches drop its repeat.

Cause: RetryPolicy.give_up looked at the window at the moment of the refusal, and drew the time to come back after it.

Change: the time is drawn first, and the request fails if it lies beyond the window.

--- a/calicofall/routing/retry_policy.py
+++ b/calicofall/routing/retry_policy.py
@@ -178,7 +178,7 @@
     def give_up(
         self, now: float, request: Request, method: MethodSettings, random_generator: Random
     ) -> Reject | Fail:
-        """Rejects a request that its client may safely repeat, and fails any other."""
+        """Rejects a request that its client may safely repeat when it is told to, and fails any other."""
         first_attempt = request.first_possibly_run()
         # Which endpoint gets the client's repeat is not known.
         is_any_endpoint_safe = (
@@ -187,7 +187,9 @@
             or method.deduplication_group == "all"
         )
         if is_any_endpoint_safe and is_repeat_safe(now, method, first_attempt):
-            return Reject(self._settings.max_retry_after_ms * random_generator.uniform(0.3, 0.6))
+            retry_after_ms = self._settings.max_retry_after_ms * random_generator.uniform(0.3, 0.6)
+            if is_repeat_safe(now + retry_after_ms, method, first_attempt):
+                return Reject(retry_after_ms)
         return Fail()
 
     def forget(self, now: float) -> None:
--- a/tests/test_routing_components.py
+++ b/tests/test_routing_components.py
@@ -314,7 +314,8 @@
     ("method", "outcome", "now", "decision"),
     [
         pytest.param(READ, AttemptOutcome.TIMEOUT, 9000.0, Reject, id="idempotent"),
-        pytest.param(SAVE, AttemptOutcome.TIMEOUT, 4999.0, Reject, id="idempotency key in a group of all"),
+        pytest.param(SAVE, AttemptOutcome.TIMEOUT, 3799.0, Reject, id="idempotency key in a group of all"),
+        pytest.param(SAVE, AttemptOutcome.TIMEOUT, 4400.0, Fail, id="idempotency key, to come back too late"),
         pytest.param(SAVE, AttemptOutcome.TIMEOUT, 5000.0, Fail, id="idempotency key, after its window"),
         pytest.param(SAVE, AttemptOutcome.FULL, 9000.0, Reject, id="idempotency key, never ran"),
         pytest.param(ORDER, AttemptOutcome.TIMEOUT, 1.0, Fail, id="not idempotent, may have run"),
@@ -324,7 +325,7 @@
 def test_give_up_rejects_only_requests_that_are_safe_to_repeat(
     method: MethodSettings, outcome: AttemptOutcome, now: float, decision: type[Reject | Fail]
 ) -> None:
-    """A deduped request that may have run was rejected after its window: repeating it is not harmless."""
+    """A deduped request that may have run was rejected though its client would repeat it after its window."""
     settings = RoutingSettings(deployment_settings())
     retries = RetryPolicy(settings, LatencyBaselines([], 500.0), 1, Random(1))
     request = make_request("read")
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -114,7 +114,7 @@
             and now < request.expires_at
         )
 
-    def may_reject(self, now: float, request: Request) -> bool:
+    def may_reject(self, repeated_at: float, request: Request) -> bool:
         method = self.methods[request.method]
         possibly_run_at = [
             at_ms for at_ms, _, outcome in self.history.get(request.id, []) if outcome not in NEVER_RAN
@@ -122,7 +122,7 @@
         is_deduplicated = (
             method["repeats"] == "deduped"
             and method["group"] == "all"
-            and all(now < at_ms + method["window"] for at_ms in possibly_run_at)
+            and all(repeated_at < at_ms + method["window"] for at_ms in possibly_run_at)
         )
         return method["repeats"] == "retriable" or is_deduplicated or not possibly_run_at
 
@@ -179,7 +179,7 @@
             assert now + decision.delay_ms < request.expires_at
             waiting.append((now + decision.delay_ms, request))
         else:
-            assert isinstance(decision, Fail) or model.may_reject(now, request)
+            assert isinstance(decision, Fail) or model.may_reject(now + decision.retry_after_ms, request)
             model.answered.add(request.id)
             request.finished = True
 
