The testbed breaks long replies off, reads commands slowly and sends batches that are read slowly

Change: caches that reset a connection in the middle of a long reply or in place of a write's, and that read at a rate with little space in the kernel; clients that send a batch of reads on a connection and read at a rate. The checker holds whole answers in front of a value that broke off as due, those behind it not, and takes the window from the scenario. Two proxies broken on purpose: one aborts truncated values, one writes repeats late.

--- a/calicofall/testbed/checker.py
+++ b/calicofall/testbed/checker.py
@@ -15,12 +15,11 @@
 from collections.abc import Iterable
 from typing import Any, NamedTuple
 
-from calicofall.testbed.history import History, UpstreamSend
+from calicofall.testbed.history import ClientAnswer, History, UpstreamSend
 from calicofall.testbed.scenario import Scenario
 
 BASE_TOLERANCE_S = 0.05  # the protocol's allowance for times that are measured on sockets
 DRAIN_GRACE_S = 0.25  # after a proxy was notified that a cache drains or is removed
-DEDUPLICATION_WINDOW_S = 5.0  # in which the caches of a group may execute a deduplicated write again
 MAX_REORDERING_S = 0.03  # by which events on two connections of one proxy may be seen in the wrong order
 MAX_TESTBED_LAG_S = 0.75  # of the testbed itself; above it the run is void
 MAX_CORE_WAIT_S = 0.5  # in a second, of any proxy while requests arrive; above it the run is void
@@ -169,6 +168,8 @@
             "answers": len(self.history.client_answers),
             "dropped_commands": self.history.dropped_commands,
             "second_copies": self.history.second_copies,
+            "broken_replies": len(self.history.broken_replies),
+            "reset_writes": self.history.reset_writes,
         }
         self.record_costs()
         void_reason = ""
@@ -202,6 +203,7 @@
                     "one answer", answer.proxy, answer.at, "an answer without a command that waits for it"
                 )
         deadlines, judged, exempt = {}, 0, 0
+        truncated = self.truncated_attempts(answers)
         sent = {send.id for send in self.history.upstream_sends}
         for attempt in self.history.client_attempts:
             deadlines[attempt.id] = attempt.at + attempt.deadline_s
@@ -213,6 +215,9 @@
             tolerance = self.tolerance_between(attempt.at, ended_at)
             if attempt.at + attempt.deadline_s + tolerance > self.history.ended_at:
                 continue
+            if attempt.id in truncated:
+                exempt += 1
+                continue
             judged += 1
             if not received or received[0].kind == "none":
                 self.add_finding("one answer", attempt.proxy, attempt.at, f"{attempt.id}: no answer")
@@ -221,13 +226,15 @@
                     "one answer",
                     attempt.proxy,
                     received[0].at,
-                    f"{attempt.id}: closed without an answer",
+                    f"{attempt.id}: closed without an answer"
+                    + (", though a cache answered it whole" * (attempt.id in self.history.whole_replies)),
                 )
             elif received[0].kind == "another's":
                 self.add_finding(
                     "one answer", attempt.proxy, received[0].at, f"{attempt.id}: the value of another attempt"
                 )
-            elif received[0].at > deadlines[attempt.id] + tolerance:
+            # The time that an answer waits for those before it does not count.
+            elif not attempt.batch and received[0].at > deadlines[attempt.id] + tolerance:
                 self.add_finding(
                     "one answer", attempt.proxy, received[0].at, f"{attempt.id}: answered after its deadline"
                 )
@@ -244,6 +251,24 @@
                 self.add_finding("one answer", send.proxy, send.at, f"{send.id}: sent after its deadline")
         self.figures |= {"tries_judged": judged, "tries_exempt": exempt}
 
+    def truncated_attempts(self, answers: dict[str, list[ClientAnswer]]) -> set[str]:
+        """Return the attempts that a reply that broke off left without an answer: its own, and those behind.
+
+        Whole answers in front of it are due all the same.
+        """
+        truncated: set[str] = set()
+        broken_batches: set[int] = set()
+        for attempt in self.history.client_attempts:
+            kinds = {answer.kind for answer in answers.get(attempt.id, [])}
+            is_unanswered = kinds <= {"closed", "crossed"}
+            if attempt.batch in broken_batches:
+                truncated.add(attempt.id)
+            elif is_unanswered and attempt.id in self.history.broken_replies:
+                truncated.add(attempt.id)
+                if attempt.batch:
+                    broken_batches.add(attempt.batch)
+        return truncated
+
     def check_side_effects(self) -> None:
         """Check that commands run as often as their method allows, and are in flight once at a time."""
         executions: dict[str, list] = defaultdict(list)
@@ -264,7 +289,7 @@
         for key, ran in executions_by_key.items():
             if (
                 max(execution.at for execution in ran) - min(execution.at for execution in ran)
-                > DEDUPLICATION_WINDOW_S + self.tolerance_s
+                > self.scenario.traffic.window_ms / 1000.0 + self.tolerance_s
             ):
                 self.add_finding(
                     "effects",
--- a/calicofall/testbed/clients.py
+++ b/calicofall/testbed/clients.py
@@ -21,7 +21,7 @@
 from calicofall.proxy.buffers import RingBuffer
 from calicofall.proxy.command_parser import CommandParser
 from calicofall.testbed.history import ClientAnswer, ClientAttempt, ClientRequest, History
-from calicofall.testbed.scenario import LARGE_VALUE_BYTES, SMALL_VALUE_BYTES, Scenario, expand_group
+from calicofall.testbed.scenario import SMALL_VALUE_BYTES, Scenario, expand_group
 
 RECONNECT_DELAY_S = 0.1  # until a client that has found no proxy tries again
 HOT_KEY_RANK = 0  # rank of the key that becomes hot
@@ -165,7 +165,7 @@
 
     def value_size(self, key: str) -> int:
         """Return the size of a key's value (bytes)."""
-        return LARGE_VALUE_BYTES if self.scenario.has_large_value(key) else SMALL_VALUE_BYTES
+        return self.scenario.traffic.large_bytes if self.scenario.has_large_value(key) else SMALL_VALUE_BYTES
 
     def start(self, started_at: float) -> None:
         """Start pings and traffic; `started_at`: start of the run on the loop's clock (s)."""
@@ -319,7 +319,7 @@
             arguments.encode(),
         ]
         if method != "read":
-            command.append(b"new")
+            command.append(b"w" * self.scenario.traffic.write_bytes)
         answer: asyncio.Future = self.loop.create_future()
         self.history.client_attempts.append(
             ClientAttempt(self.loop.time(), connection.proxy, attempt_id, method, remaining_s)
--- a/calicofall/testbed/emulated_servers.py
+++ b/calicofall/testbed/emulated_servers.py
@@ -31,11 +31,14 @@
     UpstreamSend,
 )
 from calicofall.testbed.network_faults import HEALTHY_LINK, LinkFaults, LinkState
-from calicofall.testbed.scenario import SMALL_VALUE_BYTES
+from calicofall.testbed.scenario import LONG_REPLY_BYTES, SMALL_VALUE_BYTES
 from calicofall.testbed.server_models import CacheModel, DiscoveryModel
 
 LOOPBACK_DEVICE = b"lo\0"
 IP_PKTINFO = 8
+BREAK_DELAY_S = 0.02  # from the first half of a reply to the reset
+SLOW_READER_BUFFER_BYTES = 4096  # of the kernel, for a cache node that reads slowly
+DEDUPLICATED_METHOD = "save"
 KEEPALIVE_INTERVAL_S = 2.0  # between two empty lines on a watch
 
 
@@ -223,19 +226,31 @@
         copy_delay_s: Time from a reply to its second copy.
         drops: Share of the commands with little time left that get no reply and are not executed.
         drops_below_ms: What little time is.
-        random_generator: Draws which replies are sent twice, and which commands are dropped.
+        breaks: Share of the long replies that a reset breaks off in the middle.
+        resets: Share of the deduplicated writes whose connection is reset in place of the reply.
+        random_generator: Draws which replies and commands are affected.
     """
 
     copies: float = 0.0
     copy_delay_s: float = 0.0
     drops: float = 0.0
     drops_below_ms: float = 0.0
+    breaks: float = 0.0
+    resets: float = 0.0
     random_generator: Random = field(default_factory=lambda: Random(0))
 
     def drops_command(self, time_left_ms: float) -> bool:
         """Return whether a command with this time left gets no reply."""
         return time_left_ms < self.drops_below_ms and self.random_generator.random() < self.drops
 
+    def breaks_reply(self, size: int) -> bool:
+        """Return whether a reply of a size (bytes) breaks off in the middle."""
+        return size > LONG_REPLY_BYTES and self.random_generator.random() < self.breaks
+
+    def resets_write(self, method: str) -> bool:
+        """Return whether a command's connection is reset in place of its reply."""
+        return method == DEDUPLICATED_METHOD and self.random_generator.random() < self.resets
+
 
 class CacheEmulator:
     """An emulated cache node, which listens on its socket.
@@ -266,9 +281,15 @@
             value_size,
             sends_load_reports,
         )
+        self.read_bytes_per_s: float | None = None  # None: as fast as bytes come
         self.sock = loopback_socket(socket.SOCK_STREAM)
         self.port = self.sock.getsockname()[1]
 
+    def read_slowly(self, bytes_per_s: float) -> None:
+        """Read commands at a rate, with little space in the kernel; called before any connection."""
+        self.read_bytes_per_s = bytes_per_s
+        self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SLOW_READER_BUFFER_BYTES)
+
     async def open(self) -> None:
         """Accept connections."""
         await self.runner.loop.create_server(lambda: CacheConnection(self.runner, self), sock=self.sock)
@@ -296,6 +317,19 @@
                 UpstreamConnectionEvent(now, self.proxy, self.server_name, True)
             )
 
+    def data_received(self, data: bytes) -> None:
+        """Pass bytes of the proxy to the link, and read no more for the time that a slow node takes."""
+        if self.emulator.read_bytes_per_s is not None:
+            self.transport.pause_reading()
+            pause_s = len(data) / self.emulator.read_bytes_per_s
+            self.runner.loop.call_later(pause_s, self.resume_reading)
+        super().data_received(data)
+
+    def resume_reading(self) -> None:
+        """Read on, unless the connection is closed."""
+        if not self.closed and not self.transport.is_closing():
+            self.transport.resume_reading()
+
     def on_bytes(self, at: float, data: bytes, _tag: Any) -> None:
         """Execute the commands that are complete; abort the connection after one that is malformed."""
         self.pieces_received += 1
@@ -334,6 +368,10 @@
             self.reply(send_index, b"-BUSY\r\n")
             return
         history.executions.append(ServerExecution(begins_at, self.server_name, name, method, idempotency_key))
+        if self.emulator.reply_faults.resets_write(method):
+            history.reset_writes += 1
+            self.runner.loop.call_at(answer.at, self.abort)
+            return
         value = b"of " + words[2]
         value += b"." * (0 if write else size - len(value))
         status = (
@@ -356,9 +394,20 @@
                 return
             if reply:
                 self.replies_by_send[index] = b""  # being written
+                attempt_id = self.runner.history.upstream_sends[index].id
+                if self.emulator.reply_faults.breaks_reply(len(reply)):
+                    self.break_off(attempt_id, reply)
+                    return
+                self.runner.history.whole_replies.add(attempt_id)
                 self.send(reply, index + 1)
                 self.schedule_copy(reply)
 
+    def break_off(self, attempt_id: str, reply: bytes) -> None:
+        """Send the first half of a reply, then reset the connection."""
+        self.runner.history.broken_replies.add(attempt_id)
+        self.send(reply[: len(reply) // 2])
+        self.runner.loop.call_later(BREAK_DELAY_S, self.abort)
+
     def schedule_copy(self, reply: bytes) -> None:
         """Schedule a second copy of some replies."""
         faults = self.emulator.reply_faults
--- a/calicofall/testbed/history.py
+++ b/calicofall/testbed/history.py
@@ -50,6 +50,7 @@
     id: str
     method: str
     deadline_s: float  # s after `at`
+    batch: int = 0  # number of the batch in which it was sent behind others; 0: it was sent alone
 
 
 class ClientAnswer(NamedTuple):
@@ -151,6 +152,9 @@
         core_waits: Longest time for which a proxy waited for a core in a second: when, s.
         injected_faults: Injected faults: from, to, what.
         dropped_commands: Number of commands that cache nodes dropped without a reply.
+        whole_replies: Ids of attempts whose reply a cache node wrote whole.
+        broken_replies: Ids of attempts whose reply a cache node broke off in the middle.
+        reset_writes: Number of writes whose connection was reset in place of the reply.
         second_copies: Number of replies that cache nodes sent a second time.
     """
 
@@ -181,4 +185,7 @@
     core_waits: list[tuple[float, float]] = field(default_factory=list)
     injected_faults: list[tuple[float, float, str]] = field(default_factory=list)
     dropped_commands: int = 0
+    whole_replies: set[str] = field(default_factory=set)
+    broken_replies: set[str] = field(default_factory=set)
+    reset_writes: int = 0
     second_copies: int = 0
--- a/calicofall/testbed/runner.py
+++ b/calicofall/testbed/runner.py
@@ -21,6 +21,7 @@
 import orjson
 
 from calicofall.fleet.settings_document import DEFAULT_VOTER_COUNT, PER_PROXY_SETTINGS, seal_document
+from calicofall.testbed.batch_clients import BatchClients
 from calicofall.testbed.checker import Verdict, check_history
 from calicofall.testbed.clients import Clients
 from calicofall.testbed.emulated_servers import (
@@ -112,6 +113,7 @@
             self.next_lag_check_at = self.started_at
             self.measure_lag()
             self.clients.start(self.started_at)
+            self.batch_clients.start()
             self.schedule_events()
             await self.launch_proxies()
             while (left := self.started_at + self.scenario.seconds - self.loop.time()) > 0.0:
@@ -151,6 +153,7 @@
             f"127.0.0.1:{port}" for port in free_ports[fleet.proxies :]
         ]  # for operators' calls
         self.clients = Clients(self.loop, scenario, self.history, self.client_addresses)
+        self.batch_clients = BatchClients(self.clients)
         self.caches: dict[str, CacheEmulator] = {}
         for number in range(fleet.caches):
             self.create_cache(f"c{number}")
@@ -200,9 +203,18 @@
             cache.fall_s,
         )
         faults = ReplyFaults(
-            cache.copies, cache.copy_ms / 1000.0, cache.drops, cache.drops_below_ms, Random(name)
+            cache.copies,
+            cache.copy_ms / 1000.0,
+            cache.drops,
+            cache.drops_below_ms,
+            cache.breaks,
+            cache.resets,
+            Random(name),
         )
-        self.caches[name] = CacheEmulator(self, name, model, self.clients.value_size, cache.reports, faults)
+        emulator = CacheEmulator(self, name, model, self.clients.value_size, cache.reports, faults)
+        if int(name[1:]) < cache.slow_readers:
+            emulator.read_slowly(cache.read_per_s)
+        self.caches[name] = emulator
 
     def endpoint_entry(
         self, name: str, status: str = "SERVING", since: float | None = None
@@ -272,7 +284,7 @@
                 "group": "all",
                 "tardyGain": 0.0,
                 "softDeadlineNs": round(traffic.soft_ms * 1e6),
-                "windowNs": 5_000_000_000,
+                "windowNs": round(traffic.window_ms * 1e6),
                 "hardDeadlineNs": round(traffic.hard_ms * 1e6),
                 "streaming": False,
             }
--- a/calicofall/testbed/scenario.py
+++ b/calicofall/testbed/scenario.py
@@ -14,6 +14,7 @@
 from pydantic import BaseModel, ConfigDict, Field, ValidationError, model_validator
 
 LARGE_VALUE_BYTES, SMALL_VALUE_BYTES = 20_000, 64
+LONG_REPLY_BYTES = 1 << 16  # a longer reply may break off
 ZONE_NAMES = "abcdefgh"
 CLOCK_DRIFT, MAX_PAUSE_S = 0.01, 0.5  # share of the elapsed time, and s; stated in settings documents
 SCENARIO_FOLDER = Path(__file__).parent / "scenarios"
@@ -86,6 +87,10 @@
     copy_ms: PositiveNumber = 4.0  # after the first one
     drops: Share = 0.0  # of the commands with less time left than `drops_below_ms`, those that get no reply
     drops_below_ms: NonNegativeNumber = 0.0
+    breaks: Share = 0.0  # of the replies over 64 KiB, those that a reset breaks off in the middle
+    resets: Share = 0.0  # of the deduplicated writes, those whose connection is reset in place of the reply
+    slow_readers: Annotated[int, Field(ge=0)] = 0  # caches, the first ones, that read at `read_per_s`
+    read_per_s: PositiveNumber = 1_000_000.0  # bytes
 
 
 class OriginCapacity(ScenarioTable):
@@ -111,7 +116,13 @@
     hurried: Share = 0.0  # of the requests, those with a deadline of `hurried_ms`
     hurried_ms: PositiveNumber = 30.0
     repeats: Annotated[int, Field(ge=0)] = 3  # retries of a client that was refused
-    large: Share = 0.0  # of the keys, those with values of 20 kB
+    large: Share = 0.0  # of the keys, those with values of `large_bytes`
+    large_bytes: PositiveInteger = LARGE_VALUE_BYTES
+    write_bytes: PositiveInteger = 3  # of the values that are written
+    window_ms: PositiveNumber = 5000.0  # in which caches drop the repeat of a deduplicated write
+    batches_per_s: NonNegativeNumber = 0.0  # of reads that a client sends at once on a connection of its own
+    batch: PositiveInteger = 80  # reads in a batch: the first ones of large values, four fifths of small ones
+    batch_read_per_s: PositiveNumber = 10_000_000.0  # bytes at which such a client reads
     hot: Share = 0.0  # of the requests, those for one key, from `hot_at` on
     hot_at: NonNegativeNumber = 0.0  # s
     notices_s: NonNegativeNumber = 1.0  # after which the load balancer detects a dead proxy
--- a/tests/rogues.py
+++ b/tests/rogues.py
@@ -8,6 +8,7 @@
 
 from calicofall.proxy import client_connection, discovery, server, upstream, upstream_connection
 from calicofall.proxy.active_request import ActiveRequest
+from calicofall.proxy.request_lifecycle import RequestLifecycle
 from calicofall.startup import connection_quotas, discovery_schedule, time_slots
 
 
@@ -193,6 +194,16 @@
     upstream.Upstreams._withdraw = staticmethod(release)
 
 
+def aborts_truncated_values() -> None:
+    """Aborts a client's connection where a value breaks off, with the whole answers in front of it."""
+    client_connection.PendingReply.truncate = lambda self: self.client.abort()
+
+
+def writes_repeats_late() -> None:
+    """Goes on writing a repeat after the window in which caches drop repeats, as it was begun within it."""
+    RequestLifecycle.arrives_by = lambda self, command: float("inf")
+
+
 FAULTY_VARIANTS = {
     variant.__name__: variant
     for variant in (
@@ -213,6 +224,8 @@
         sends_beyond_its_part,
         takes_second_copies,
         reads_late_replies,
+        aborts_truncated_values,
+        writes_repeats_late,
     )
 }
 
--- a/tests/test_stage.py
+++ b/tests/test_stage.py
@@ -354,6 +354,38 @@
     assert broken_rules(history, must=must) == {rule}
 
 
+def batch_history(*kinds: str) -> History:
+    """A history with one batch of four reads, the third of which has a reply that breaks off."""
+    history = valid_history()
+    for number, kind in enumerate(kinds):
+        name = f"batch-{number}"
+        history.client_attempts.append(ClientAttempt(102.0, "p0", name, "read", 1.0, 1))
+        history.upstream_sends.append(UpstreamSend(102.01, "p0", "c0", name, "read", "", 900.0))
+        history.send_ended_at[len(history.upstream_sends) - 1] = 102.02
+        history.client_answers.append(ClientAnswer(102.5, "p0", name, kind))
+    history.whole_replies = {"batch-0", "batch-1", "batch-3"}
+    history.broken_replies = {"batch-2"}
+    return history
+
+
+def test_whole_answers_in_front_of_a_reply_that_breaks_off_are_due_and_those_behind_are_not() -> None:
+    """The checker of truncated values: neither blind in front of the broken reply nor strict behind it."""
+    assert not broken_rules(batch_history("completed", "completed", "closed", "closed"))
+    verdict = check_history(small_scenario(), batch_history("completed", "closed", "closed", "closed"))
+    assert [finding.what for finding in verdict.findings] == [
+        "batch-1: closed without an answer, though a cache answered it whole"
+    ]
+    # A reply that broke off before its turn came is asked for again: then nothing is excused.
+    assert broken_rules(batch_history("completed", "completed", "completed", "closed")) == {"one answer"}
+
+
+def test_the_deduplication_window_is_that_of_the_scenario() -> None:
+    history = valid_history()
+    history.executions += [ServerExecution(at, "c0", "1", "save", "mark") for at in (103.0, 103.0 + 0.5)]
+    assert not broken_rules(history)
+    assert broken_rules(history, traffic={"per_s": 40.0, "window_ms": 300.0}) == {"effects"}
+
+
 def test_the_checker_finds_a_cold_cache_that_is_overloaded() -> None:
     history = valid_history()
     history.cold_starts = {"c0": [101.0]}
@@ -589,6 +621,26 @@
     assert history.second_copies > 50
 
 
+@SECOND_GROUP
+def test_values_that_break_off_and_late_repeats_cost_no_answer_and_no_second_effect(tmp_path: Path) -> None:
+    """Guards against answers lost before a truncated value, and repeats after their window.
+
+    Two faulty proxies are found, and the sound one is not blamed.
+    """
+    plan = scenario.load_scenario("long-values-broken-off-and-late").model_copy(update={"seconds": 12.0})
+    os.environ["PYTHONPATH"] = str(FAULTY_PROXY_SCRIPT.parent.parent)
+    commands = {
+        number: [sys.executable, str(FAULTY_PROXY_SCRIPT), name, "serve"]
+        for number, name in ((1, "aborts_truncated_values"), (2, "writes_repeats_late"))
+    }
+    verdict, history = run_until_judged(plan, tmp_path, commands=commands)
+    assert not verdict.void_reason
+    rules = {(f.proxy, f.rule) for f in verdict.findings if f.rule in ("one answer", "effects")}
+    assert rules == {("p1", "one answer"), ("p2", "effects")}
+    assert len(history.broken_replies) > 5
+    assert history.reset_writes > 5
+
+
 @FIRST_GROUP
 def test_bounds_broken_on_purpose_are_each_found(tmp_path: Path) -> None:
     """Fleets of faulty proxies each exceed one bound of the checker.
