Limits of one process are a typed value; three circles of imports in proxy/ are gone

Cause: Proxy.connection_budget returned a tuple of three numbers, and server.py held what it needed; command_memory and client_connection, discovery_watch and discovery, active_request and its parts named each other.

Change: proxy/process_limits.py; protocols for a client that waits for room and for the owner of a watch.

--- a/calicofall/proxy/active_request.py
+++ b/calicofall/proxy/active_request.py
@@ -1,14 +1,10 @@
 """A client's request in flight, as the proxy keeps it: the reply that is due and the command to forward."""
 
-from typing import TYPE_CHECKING
-
 from calicofall.proxy import resp
+from calicofall.proxy.client_connection import PendingReply
 from calicofall.proxy.client_protocol import build_forwarded_command
-
-if TYPE_CHECKING:
-    from calicofall.proxy.client_connection import PendingReply
-    from calicofall.proxy.upstream_command import UpstreamCommand
-    from calicofall.routing.request import Request
+from calicofall.proxy.upstream_command import UpstreamCommand
+from calicofall.routing.request import Request
 
 
 class ActiveRequest:
@@ -16,7 +12,7 @@
 
     __slots__ = ("request", "reply", "parts", "command", "streaming_began_at")
 
-    def __init__(self, request: "Request", reply: "PendingReply | None", parts: list[bytes]) -> None:
+    def __init__(self, request: Request, reply: PendingReply | None, parts: list[bytes]) -> None:
         self.request = request
         self.reply = reply
         self.parts = parts
--- a/calicofall/proxy/command_memory.py
+++ b/calicofall/proxy/command_memory.py
@@ -11,18 +11,25 @@
 import asyncio
 import logging
 from dataclasses import dataclass
-from typing import TYPE_CHECKING
+from typing import Protocol
 
 from calicofall.proxy.metrics import Metrics
 
-if TYPE_CHECKING:
-    from calicofall.proxy.client_connection import ClientConnection
-
 MAX_WAIT_FRACTION = 0.5  # of the time that a request has; the rest is for its attempts
 LOG_INTERVAL_S = 10.0  # between two log lines about waits
 log = logging.getLogger("calicofall")
 
 
+class WaitingClient(Protocol):
+    """A client's connection, which waits for room."""
+
+    def on_room(self, waited_s: float) -> None:
+        """There is room for the long value, after a wait (s)."""
+
+    def on_no_room(self, waited_s: float) -> None:
+        """There was no room for the long value in time (s)."""
+
+
 @dataclass(slots=True)
 class RoomWait:
     """A client that waits for room for a long value."""
@@ -49,7 +56,7 @@
         self.buffered_bytes = 0  # of complete commands and of replies
         self.short_bytes = 0  # of incomplete commands without a long value
         self.reserved_bytes = 0  # of incomplete commands with a long value: its whole length
-        self.waiting: dict[ClientConnection, RoomWait] = {}  # in the order of arrival
+        self.waiting: dict[WaitingClient, RoomWait] = {}  # in the order of arrival
         self.longest_wait_s = 0.0  # since the last log line
         self.next_log_at = 0.0
 
@@ -80,7 +87,7 @@
         if short < 0 or reserved < 0:
             self._grant()
 
-    def has_room(self, client: "ClientConnection", size: int, max_wait_s: float) -> bool:
+    def has_room(self, client: WaitingClient, size: int, max_wait_s: float) -> bool:
         """Returns whether a long value may be read now; else its client waits, until a maximum time."""
         if not self.waiting and self._fits(size):
             return True
@@ -89,7 +96,7 @@
         self.metrics.memory_waits += 1
         return False
 
-    def stop_waiting(self, client: "ClientConnection") -> float:
+    def stop_waiting(self, client: WaitingClient) -> float:
         """Ends a client's wait, if it waits; returns how long it has waited (s)."""
         wait = self.waiting.pop(client, None)
         if wait is None:
@@ -117,7 +124,7 @@
                 return
             client.on_room(self.stop_waiting(client))
 
-    def _refuse(self, client: "ClientConnection") -> None:
+    def _refuse(self, client: WaitingClient) -> None:
         self.metrics.memory_refusals += 1
         client.on_no_room(self.stop_waiting(client))
         self._grant()
--- a/calicofall/proxy/discovery_watch.py
+++ b/calicofall/proxy/discovery_watch.py
@@ -5,15 +5,13 @@
 Invariants: only complete messages are passed on, and none once the watch has been replaced.
 """
 
+import asyncio
 import re
 from enum import StrEnum
-from typing import TYPE_CHECKING
+from typing import Any, Protocol
 
 from calicofall.proxy.connection import BufferedConnection
 
-if TYPE_CHECKING:
-    from calicofall.proxy.discovery import Discovery
-
 MAX_MESSAGE_BYTES = 1 << 20
 MAX_HEAD_LINE_BYTES = 8192
 MAX_RETRY_AFTER_S = 60.0
@@ -26,6 +24,28 @@
     """The response is not a valid answer to a watch; the message says why."""
 
 
+class WatchOwner(Protocol):
+    """The part of the proxy that opens watches and replaces them."""
+
+    loop: asyncio.AbstractEventLoop
+    address: str  # of the discovery service
+    path: str  # that is watched
+    version: int | None  # of the list that is known
+    watch: Any  # the present one
+
+    def on_phase(self, phase: str) -> None:
+        """A phase of the proxy's start has been reached."""
+
+    def on_answer(self) -> None:
+        """The service has answered."""
+
+    def on_message(self, message: bytes) -> None:
+        """A complete message has been received."""
+
+    def on_watch_closed(self, watch: "Watch") -> None:
+        """The watch has ended."""
+
+
 class WatchStage(StrEnum):
     """The part of the response that is read next."""
 
@@ -39,7 +59,7 @@
 class Watch(BufferedConnection):
     """The connection of one watch; its messages are passed to `discovery`."""
 
-    def __init__(self, discovery: "Discovery") -> None:
+    def __init__(self, discovery: WatchOwner) -> None:
         super().__init__(discovery.loop)
         self.discovery = discovery
         self.stage = WatchStage.STATUS
--- /dev/null
+++ b/calicofall/proxy/process_limits.py
@@ -0,0 +1,41 @@
+"""The limits of one process, where several processes of a proxy share the proxy's limits."""
+
+from dataclasses import dataclass
+from typing import Any
+
+from calicofall.config.settings import descriptor_limit, memory_limit_mb
+
+# File descriptors kept free of client and endpoint connections, for the process's other sockets and files:
+# listeners, operators' connections, watches, gossip, the event loop, log, record and snapshot.
+RESERVED_DESCRIPTORS = 32
+MIN_CONNECTIONS = 8
+UPSTREAM_SHARE = 0.4  # of the connections, that may go to endpoints
+BASE_MEMORY_MB = 24  # memory of a proxy process that has no requests
+# Commands and replies are counted up to a quarter of the memory (megabytes shifted by 18 bits are a quarter
+# in bytes), since a command in flight, its copy on the way to an endpoint and its answer each take about as
+# much again.
+QUARTER_OF_MB_SHIFT = 18
+
+
+@dataclass(frozen=True, slots=True)
+class ProcessLimits:
+    """The limits of one process.
+
+    Attributes:
+        max_connections: Maximum number of connections to clients and endpoints together.
+        max_upstream_connections: How many of these may go to endpoints.
+        read_ahead_bytes: Size of commands and replies from which on no command is read ahead.
+    """
+
+    max_connections: int
+    max_upstream_connections: int
+    read_ahead_bytes: int
+
+
+def divide_limits(node: dict[str, Any], process_count: int) -> ProcessLimits:
+    """Returns the limits of one of `process_count` processes that share the limits of a node file."""
+    max_connections = max(MIN_CONNECTIONS, descriptor_limit(node) // process_count - RESERVED_DESCRIPTORS)
+    buffer_mb = max(1, memory_limit_mb(node) // process_count - BASE_MEMORY_MB)
+    return ProcessLimits(
+        max_connections, int(max_connections * UPSTREAM_SHARE), buffer_mb << QUARTER_OF_MB_SHIFT
+    )
--- a/calicofall/proxy/server.py
+++ b/calicofall/proxy/server.py
@@ -22,8 +22,6 @@
 from calicofall.config.addresses import parse_address
 from calicofall.config.endpoint_list import parse_endpoint_list
 from calicofall.config.settings import (
-    descriptor_limit,
-    memory_limit_mb,
     normalize_settings,
     parse_seed,
     settings_on_sockets,
@@ -45,6 +43,7 @@
 from calicofall.proxy.metrics import Metrics
 from calicofall.proxy.operator_calls import OperatorCalls
 from calicofall.proxy.outlier_reports import OutlierReports
+from calicofall.proxy.process_limits import divide_limits
 from calicofall.proxy.process_lock import ProcessLock
 from calicofall.proxy.quota_enforcement import (
     HANDSHAKE_SLOTS,
@@ -68,10 +67,6 @@
 # The largest number of proxies in a fleet at which they open connections before they are needed. In larger
 # fleets, the connections that all proxies keep open in advance would crowd each endpoint.
 MAX_PROXIES_PRECONNECTING = 7
-# File descriptors kept free of client and endpoint connections, for the process's other sockets and files:
-# listeners, operators' connections, watches, gossip, the event loop, log, record and snapshot.
-RESERVED_DESCRIPTORS = 32
-BASE_MEMORY_MB = 24  # memory of a proxy process that has no requests
 TICK_DELAY_S = 0.003  # delay of a tick, so that events close together share one
 UPKEEP_INTERVAL_S = 0.25
 FULL_COLLECTION_ROUNDS = 20  # upkeep rounds between two garbage collections of all generations
@@ -231,11 +226,11 @@
 
     def _make_connections(self, caps: dict[str, Any]) -> None:
         """Creates the connections to endpoints and to clients, which share one budget of descriptors."""
-        max_connections, max_upstream_connections, read_ahead_bytes = self.connection_budget(1)
+        limits = divide_limits(self.node, 1)
         self.upstreams = Upstreams(
             self.loop,
             caps,
-            max_upstream_connections,
+            limits.max_upstream_connections,
             # In a large fleet, proxies that each opened connections to every endpoint would make all their
             # handshakes at once after a start.
             self.proxy_count <= MAX_PROXIES_PRECONNECTING,
@@ -251,8 +246,8 @@
         self.upstreams.arrives_by = self.requests.arrives_by
         self.clients = ClientConnections(
             self.loop,
-            max_connections,
-            CommandMemory(self.loop, read_ahead_bytes, self.metrics),
+            limits.max_connections,
+            CommandMemory(self.loop, limits.read_ahead_bytes, self.metrics),
             self.longest_deadline_s(),
             self.requests.on_request,
             self.requests.find_time_left_s,
@@ -423,23 +418,6 @@
         gossip.on_agreement = sync.on_message
         return sync
 
-    def connection_budget(self, process_count: int) -> tuple[int, int, int]:
-        """Returns the limits of one process, where `process_count` processes share the proxy's limits.
-
-        Returns:
-            The maximum number of connections, how many of these may go to endpoints, and the size of commands
-            and replies (bytes) from which on no command is read ahead.
-        """
-        max_connections = max(8, descriptor_limit(self.node) // process_count - RESERVED_DESCRIPTORS)
-        # Commands and replies are counted up to a quarter of the memory (megabytes << 18 are a quarter in
-        # bytes), since a command in flight, its copy on the way to an endpoint and its answer each take about
-        # as much again.
-        return (
-            max_connections,
-            int(max_connections * 0.4),
-            max(1, memory_limit_mb(self.node) // process_count - BASE_MEMORY_MB) << 18,
-        )
-
     def longest_deadline_s(self) -> float:
         """Returns the longest hard deadline of all methods (s)."""
         return max([method["hard_deadline"] for method in self.methods.values()], default=3000.0) / 1000.0
@@ -584,12 +562,10 @@
                     "serving": self.process_lock.serving_process_count + self.serving(),
                 },
             )
-            max_connections, max_upstream_connections, read_ahead_bytes = self.connection_budget(
-                process_count
-            )
-            self.clients.memory.set_read_ahead(read_ahead_bytes)
-            self.upstreams.set_max_connections(max_upstream_connections)
-            self.clients.set_max_connections(max_connections)
+            limits = divide_limits(self.node, process_count)
+            self.clients.memory.set_read_ahead(limits.read_ahead_bytes)
+            self.upstreams.set_max_connections(limits.max_upstream_connections)
+            self.clients.set_max_connections(limits.max_connections)
             self.router.set_process_count(process_count)
 
     def upkeep(self) -> None:
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -43,7 +43,8 @@
 from calicofall.proxy.connection import BufferedConnection, Listener, open_connection
 from calicofall.proxy.discovery import Discovery
 from calicofall.proxy.lingering_close import LINGER_S
-from calicofall.proxy.server import RESERVED_DESCRIPTORS, Proxy
+from calicofall.proxy.process_limits import RESERVED_DESCRIPTORS
+from calicofall.proxy.server import Proxy
 from calicofall.startup.discovery_schedule import DiscoverySchedule
 
 ROOT = Path(__file__).parents[1]
--- a/tests/test_lease.py
+++ b/tests/test_lease.py
@@ -10,8 +10,8 @@
 from calicofall.proxy import graceful_shutdown, resp
 from calicofall.proxy import process_lock as process_lock_module
 from calicofall.proxy.clients import ClientConnections
+from calicofall.proxy.process_limits import RESERVED_DESCRIPTORS
 from calicofall.proxy.process_lock import ProcessLock
-from calicofall.proxy.server import RESERVED_DESCRIPTORS
 
 
 def test_processes_of_one_proxy_detect_each_other_and_which_one_serves(tmp_path: Path) -> None:
