A client that reads slowly is not taken for one that reads nothing

What callers saw: a client that reads 4 to 12 kB a second, with small buffers, lost its connection in the middle of a long value after 2.5 s, with 10 and 30 kB read by then.

Cause: check_stall compared the kernel's send buffer alone, which the transport refills with as much as the client has read.

Change: what is in the output queue, the transport's buffer and the kernel's counts together; it can only fall while writing is paused.

--- a/calicofall/proxy/client_connection.py
+++ b/calicofall/proxy/client_connection.py
@@ -161,14 +161,17 @@
         super().resume_writing()
         self.write_ready_replies()
 
-    def check_stall(self, unsent_before: int = -1) -> None:
-        """Disconnects a client that has accepted nothing since the last check; else schedules a new check."""
-        unsent = self.unsent_kernel_bytes()
-        if unsent_before >= 0 and unsent >= unsent_before:
+    def check_stall(self, undelivered_before: int = -1) -> None:
+        """Disconnects a client that has accepted nothing since the last check; else schedules a new check.
+
+        The transport's buffer counts, too: the kernel takes from it what the client has accepted.
+        """
+        undelivered = self.undelivered_bytes()
+        if undelivered_before >= 0 and undelivered >= undelivered_before:
             self.abort()
             return
         self.stall_timer = self.clients.loop.call_later(
-            self.clients.stall_timeout_s, self.check_stall, unsent
+            self.clients.stall_timeout_s, self.check_stall, undelivered
         )
 
     def measure_partial_command(self) -> tuple[int, int]:
--- a/calicofall/proxy/connection.py
+++ b/calicofall/proxy/connection.py
@@ -147,6 +147,12 @@
         """
         return unacknowledged_bytes(self.transport)
 
+    def undelivered_bytes(self) -> int:
+        """Returns how much of the output that was written the peer has not acknowledged (bytes)."""
+        if self.transport is None:
+            return len(self.output)
+        return len(self.output) + self.transport.get_write_buffer_size() + self.unsent_kernel_bytes()
+
     def has_undelivered_output(self) -> bool:
         """Whether the peer has not acknowledged all output that was written."""
         return bool(len(self.output) or self.write_paused or self.unsent_kernel_bytes())
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -172,6 +172,9 @@
     def get_extra_info(self, _name: str) -> None:
         return None
 
+    def get_write_buffer_size(self) -> int:
+        return 0
+
     def pause_reading(self) -> None:
         self.paused = True
 
--- a/tests/test_truncated_values.py
+++ b/tests/test_truncated_values.py
@@ -6,8 +6,10 @@
 
 import socket
 import struct
+import threading
 import time
 from collections.abc import Iterator
+from contextlib import suppress
 
 import pytest
 from helpers import SETTINGS, FakeTransport, ProxyHarness, encode_reply, encode_request
@@ -31,11 +33,11 @@
     harness.close()
 
 
-def connect_slow_client(harness: SocketHarness) -> socket.socket:
+def connect_slow_client(harness: SocketHarness, buffer_bytes: int = CLIENT_BUFFER_BYTES) -> socket.socket:
     """Connects a client whose kernel buffers little input, so that the proxy's kernel holds the rest."""
     before = len(harness.proxy.clients.connections)
     sock = socket.socket()
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, CLIENT_BUFFER_BYTES)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, buffer_bytes)
     sock.settimeout(5.0)
     sock.connect(harness.address)
     harness.open_sockets.append(sock)
@@ -135,6 +137,35 @@
     assert read_until_close(sock) == resp.encode_bulk(WHOLE_VALUE)
 
 
+@pytest.mark.parametrize("is_reading", [True, False])
+def test_only_a_client_that_accepts_nothing_counts_as_stalled(
+    socket_harness: SocketHarness, monkeypatch: pytest.MonkeyPatch, is_reading: bool
+) -> None:
+    """A client that read slowly was cut, as the kernel refilled its buffer with as much as was read."""
+    stall_timeout_s = 1.0
+    monkeypatch.setattr(socket_harness.proxy.clients, "stall_timeout_s", stall_timeout_s)
+    sock = connect_slow_client(socket_harness, buffer_bytes=4096)
+    connection = next(iter(socket_harness.proxy.clients.connections))
+    server_socket = connection.transport.get_extra_info("socket")
+    server_socket.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, CLIENT_BUFFER_BYTES)
+    sock.sendall(encode_request(key=1))
+    socket_harness.run_until(lambda: socket_harness.has_sent(1))
+    cache = socket_harness.accept_cache_connection()
+    threading.Thread(target=cache.sendall, args=[encode_reply(bytes(300_000))], daemon=True).start()
+    socket_harness.run_until(lambda: connection.write_paused)
+    sock.setblocking(False)
+    received_bytes = 0
+    ends_at = time.monotonic() + 3 * stall_timeout_s
+    while time.monotonic() < ends_at and not connection.closed:
+        socket_harness.run_loop(0.02)
+        if is_reading:
+            with suppress(BlockingIOError):
+                received_bytes += len(sock.recv(300))
+    assert connection.closed != is_reading
+    assert connection.write_paused  # it is far from the end of the value
+    assert (received_bytes > 10_000) == is_reading
+
+
 class ClosingClients:
     """Clients on fake transports that are closing, with output that their kernels have not acknowledged."""
 
