A FIN that is not acknowledged yet is no output that is due

Cause: the kernel counts the FIN of a closing connection as an unacknowledged byte, for up to 40 ms (delayed acknowledgement).

Change: unsent_kernel_bytes leaves the FIN out.

Measured: the new test sees the FIN alone unacknowledged and nothing due. It fails without the change.

--- a/calicofall/proxy/connection.py
+++ b/calicofall/proxy/connection.py
@@ -143,9 +143,12 @@
     def unsent_kernel_bytes(self) -> int:
         """Returns how much of the output in the kernel's send buffer the peer has not acknowledged (bytes).
 
-        The transport's callbacks report a change of its buffer only in large steps.
+        The transport's callbacks report a change of its buffer only in large steps. The FIN of a connection
+        that has been shut down counts as a byte for the kernel, and is no output.
         """
-        return unacknowledged_bytes(self.transport)
+        count = unacknowledged_bytes(self.transport)
+        is_shut_down = self.lingering_close is not None and self.lingering_close.is_shut_down
+        return max(0, count - 1) if is_shut_down else count
 
     def undelivered_bytes(self) -> int:
         """Returns how much of the output that was written the peer has not acknowledged (bytes)."""
--- a/tests/test_truncated_values.py
+++ b/tests/test_truncated_values.py
@@ -17,6 +17,7 @@
 
 from calicofall.proxy import resp
 from calicofall.proxy.client_connection import MAX_PIPELINED_COMMANDS, ClientConnection, PendingReply
+from calicofall.proxy.kernel_buffers import unacknowledged_bytes
 from calicofall.proxy.lingering_close import LINGER_S, MAX_CLOSING_S, MAX_DISCARDED_BYTES, STALL_TIMEOUT_S
 
 PING = resp.encode_command([b"PING"])
@@ -166,6 +167,19 @@
     assert (received_bytes > 10_000) == is_reading
 
 
+def test_fin_that_is_not_acknowledged_is_no_output_that_is_due(socket_harness: SocketHarness) -> None:
+    """The FIN counted as a byte for up to 40 ms, in which a newcomer found no connection to replace."""
+    sock = socket_harness.client()
+    sock.sendall(PING)
+    socket_harness.run_until(lambda: socket_harness.proxy.clients.idle)
+    connection = next(iter(socket_harness.proxy.clients.idle))
+    socket_harness.run_until(lambda: not connection.unsent_kernel_bytes())
+    connection.close()
+    assert connection.lingering_close.is_shut_down
+    assert unacknowledged_bytes(connection.transport) == 1  # the FIN
+    assert not connection.has_due_output()
+
+
 class ClosingClients:
     """Clients on fake transports that are closing, with output that their kernels have not acknowledged."""
 
