--- a/calicofall/proxy/connection.py
+++ b/calicofall/proxy/connection.py
@@ -154,7 +154,8 @@
         """Returns how much of the output that was written the peer has not acknowledged (bytes)."""
         if self.transport is None:
             return len(self.output)
-        return len(self.output) + self.transport.get_write_buffer_size() + self.unsent_kernel_bytes()
+        transport_bytes: int = self.transport.get_write_buffer_size()
+        return len(self.output) + transport_bytes + self.unsent_kernel_bytes()
 
     def has_undelivered_output(self) -> bool:
         """Whether the peer has not acknowledged all output that was written."""
