Memory beside its limit, and the causes of closes and of the process's end, are logged

Resident memory and limit are gauges, fields of the lines "serving" and "stopped", and a warning at nine tenths of the limit (one line in 10 s). "stopped" says why; an exception that ends the process is a line. Ends of connections are counted by side and first cause, and logged at DEBUG.

The lists of counters in tests/test_operation.py grew by the new ones.

--- a/calicofall/proxy/client_connection.py
+++ b/calicofall/proxy/client_connection.py
@@ -5,12 +5,14 @@
 """
 
 import asyncio
+import logging
 from collections import deque
 from collections.abc import Callable
 from typing import TYPE_CHECKING, Any
 
 from calicofall.proxy import resp
 from calicofall.proxy.client_protocol import ARGUMENT_COUNTS
+from calicofall.proxy.close_cause import CloseCause
 from calicofall.proxy.command_memory import MAX_WAIT_FRACTION
 from calicofall.proxy.command_parser import CommandParser
 from calicofall.proxy.connection import BufferedConnection
@@ -22,6 +24,7 @@
 
 MAX_PIPELINED_COMMANDS = 16
 NO_PARTIAL_COMMAND = (0, 0)  # its memory: without, with a long value
+log = logging.getLogger("calicofall")
 MAX_CONSECUTIVE_ERRORS = 8  # invalid commands in a row, after which the connection is closed
 
 
@@ -123,6 +126,7 @@
         """Sends the client an error, reads no more input, and closes after the reply."""
         if not self.ignores_input:
             self.ignores_input = True
+            self.note_close_cause(CloseCause.INVALID_COMMAND)
             self._add_reply(0).complete(resp.encode_error(f"ERR {reason}"))
 
     def reject_command(self, reply: PendingReply, reason: str) -> None:
@@ -130,6 +134,7 @@
         self.consecutive_errors += 1
         if self.consecutive_errors >= MAX_CONSECUTIVE_ERRORS:
             self.ignores_input = True
+            self.note_close_cause(CloseCause.INVALID_COMMAND)
         reply.complete(resp.encode_error(f"ERR {reason}"))
 
     def write_ready_replies(self) -> None:
@@ -168,7 +173,7 @@
         """
         undelivered = self.undelivered_bytes()
         if undelivered_before >= 0 and undelivered >= undelivered_before:
-            self.abort()
+            self.abort(CloseCause.STALLED_READER)
             return
         self.stall_timer = self.clients.loop.call_later(
             self.clients.stall_timeout_s, self.check_stall, undelivered
@@ -196,9 +201,10 @@
         self.parser.discard_long_value()
         self._read_after_wait(waited_s)
 
-    def close(self) -> None:
+    def close(self, cause: CloseCause | None = None) -> None:
         """Closes after the last byte has been sent."""
         if not (self.closing or self.closed):
+            self.note_close_cause(cause)
             self.clients.on_closing(self)
             super().close()
 
@@ -228,7 +234,7 @@
         end as those of a client that has disconnected.
         """
         self.ignores_input = True
-        self.close()
+        self.close(CloseCause.TRUNCATED_VALUE)
         self._end_requests()
 
     def detect_disconnect(self) -> bool:
@@ -237,7 +243,7 @@
         A transport whose reading is paused does not report the end of its input.
         """
         if self.reading_paused and not self.closed and self.peer_has_closed():
-            self.abort()
+            self.abort(CloseCause.PEER_CLOSED)
         return self.closed
 
     def on_descriptor_released(self) -> None:
@@ -250,6 +256,12 @@
             self.stall_timer.cancel()
         if self.has_undelivered_output():
             self.clients.memory.metrics.undelivered_closes += 1
+        self.clients.memory.metrics.count_client_close(self.close_cause)
+        if log.isEnabledFor(logging.DEBUG):
+            log.debug(
+                "client closed",
+                extra={"cause": self.close_cause, "due": len(self.replies), "received": self.received_bytes},
+            )
         self.clients.remove_client(self)
         self._end_requests()
 
@@ -341,6 +353,7 @@
             self._handle_ping(reply, command)
         elif name == b"QUIT":
             self.ignores_input = True
+            self.note_close_cause(CloseCause.QUIT)
             reply.complete(resp.encode_simple_string("OK"))
         else:
             self.reject_command(reply, "unknown command")
@@ -369,6 +382,6 @@
         is_shutting_down = self.clients.close_after_reply
         # During a shutdown, commands that have begun are still answered before the close.
         if self.ignores_input or (is_shutting_down and not self.parser.has_partial_message()):
-            self.close()
+            self.close(CloseCause.SHUTDOWN)
         elif not is_shutting_down:
             self.clients.mark_idle(self)
--- a/calicofall/proxy/clients.py
+++ b/calicofall/proxy/clients.py
@@ -10,6 +10,7 @@
 from collections.abc import Callable, Iterable, Sequence
 
 from calicofall.proxy.client_connection import NO_PARTIAL_COMMAND, ClientConnection, PendingReply
+from calicofall.proxy.close_cause import CloseCause
 from calicofall.proxy.command_memory import CommandMemory
 from calicofall.proxy.kernel_buffers import discard_unread_input
 
@@ -82,7 +83,7 @@
         least_useful = self._least_useful()
         if least_useful is None:
             return False
-        least_useful.abort()
+        least_useful.abort(CloseCause.REPLACED)
         return True
 
     def awaits_release(self) -> bool:
@@ -98,9 +99,9 @@
         excess = max(0, self._total() - self.max_connections)
         for client in [*self.closing, *self.idle][:excess]:
             if client.has_due_output():
-                client.close()
+                client.close(CloseCause.REPLACED)
             else:
-                client.abort()
+                client.abort(CloseCause.REPLACED)
 
     def on_first_byte(self, client: ClientConnection) -> None:
         """Marks the client as idle when its first input arrives."""
@@ -127,6 +128,7 @@
     def reject_partial_command(self, client: ClientConnection, reason: str) -> None:
         """Closes a connection whose command is incomplete, with an error reply."""
         self.update_partial_command(client, False)
+        client.note_close_cause(CloseCause.INCOMPLETE_COMMAND)
         client.reject_further_input(reason)
         client.on_data()
 
@@ -135,7 +137,7 @@
         now = self.loop.time()
         silent_before = now - self.first_byte_timeout_s
         for client in [client for client, since in self.without_first_byte.items() if since < silent_before]:
-            client.close()
+            client.close(CloseCause.SILENT)
         # A transport whose reading is paused does not report that the client has closed.
         for client in [client for client in self.connections if client.reading_paused]:
             client.detect_disconnect()
@@ -152,7 +154,7 @@
             client, since = next(iter(self.idle.items()))
             if since > idle_before:
                 return
-            client.close()
+            client.close(CloseCause.EXCESS_IDLE)
 
     def on_closing(self, client: ClientConnection) -> None:
         """Records that a connection is closing: no reply is due, and only the client's close is awaited."""
@@ -190,7 +192,7 @@
         """Closes idle connections, but not those without input yet or with an incomplete command."""
         self.first_byte_timeout_s = SHUTDOWN_TIMEOUT_S
         for client in list(self.idle):
-            client.close()
+            client.close(CloseCause.SHUTDOWN)
 
     def close_unfinished(self) -> None:
         """Closes connections without a complete command, and reduces their timeout to that of a shutdown."""
--- a/calicofall/proxy/connection.py
+++ b/calicofall/proxy/connection.py
@@ -16,6 +16,7 @@
 from typing import Any
 
 from calicofall.proxy.buffers import OutputQueue, RingBuffer
+from calicofall.proxy.close_cause import CloseCause
 from calicofall.proxy.kernel_buffers import unacknowledged_bytes
 from calicofall.proxy.lingering_close import STALL_TIMEOUT_S, LingeringClose
 
@@ -46,6 +47,7 @@
         self.closing = False
         self.descriptor_released = False  # some iterations of the event loop after an abort
         self.close_reason = "closed"
+        self.close_cause: CloseCause | None = None
         self.lacked_local_resources = False  # opening failed for lack of local descriptors, ports or memory
         self.connect_task: asyncio.Task[None] | None = None
         self.lingering_close: LingeringClose | None = None  # set while the connection is closing
@@ -170,10 +172,11 @@
         poller.register(raw_socket.fileno(), POLLRDHUP)
         return bool(poller.poll(0))
 
-    def abort(self) -> None:
+    def abort(self, cause: CloseCause | None = None) -> None:
         """Closes the connection at once; unsent output is discarded."""
         if self.closed:
             return
+        self.note_close_cause(cause)
         self._mark_closed()
         if self.transport is not None:
             # The transport's abort closes the socket only in the event loop's next iteration, when a second
@@ -191,15 +194,24 @@
         """The transport is closed; part of asyncio's protocol."""
         self.descriptor_released = True
         if not self.closed:
+            self.note_close_cause(CloseCause.PEER_RESET if exc is not None else CloseCause.PEER_CLOSED)
+            if isinstance(exc, OSError) and exc.strerror:
+                self.close_reason = exc.strerror
             self._mark_closed()
             self.on_close()
         self.on_descriptor_released()
 
     def eof_received(self) -> bool:
         """The peer has closed; a connection that the peer shut down for writing only is aborted, too."""
-        self.abort()
+        if not self.closed:
+            self.close_reason = "the peer closed the connection"
+        self.abort(CloseCause.PEER_CLOSED)
         return False
 
+    def note_close_cause(self, cause: CloseCause | None) -> None:
+        """Records why the connection ends, unless a first cause is known."""
+        self.close_cause = self.close_cause or cause
+
     def on_open(self) -> None:
         """Called when the connection is established."""
 
@@ -387,7 +399,7 @@
         connection.close_reason = getattr(error, "strerror", None) or "connection was not established"
         connection.lacked_local_resources = error.errno in LOCAL_RESOURCE_ERRORS
         connection.connect_task = None
-        connection.abort()
+        connection.abort(CloseCause.NOT_ESTABLISHED)
     finally:
         if raw_socket is not None and connection.transport is None:
             raw_socket.close()
--- a/calicofall/proxy/connection_pool.py
+++ b/calicofall/proxy/connection_pool.py
@@ -13,6 +13,7 @@
 from typing import TYPE_CHECKING
 from zlib import crc32
 
+from calicofall.proxy.close_cause import CloseCause
 from calicofall.proxy.upstream_connection import UpstreamConnection
 
 if TYPE_CHECKING:
@@ -106,7 +107,7 @@
             connection = available.pop()
             if not connection.is_open or connection.has_no_unread_input():
                 return connection
-            connection.abort()
+            connection.abort(CloseCause.UNEXPECTED_INPUT)
         return self.add_connection(max_wait_s) if self._may_grow() else None
 
     def add_connection(self, max_wait_s: float = 0.0) -> UpstreamConnection | None:
@@ -171,13 +172,13 @@
         """Closes connections that are idle or not open yet; commands that wait for any are not sent."""
         for connection in list(self.connections):
             if connection.command is None or not connection.is_open:
-                connection.abort()
+                connection.abort(CloseCause.ENDPOINT_LEFT)
         self.fail_waiting("unconnected")
 
     def close_idle(self, idle_before: float = inf) -> None:
         """Closes the connections that have been idle since before a time (s, the loop's clock)."""
         for connection in [c for c in self.connections if c.is_idle and c.idle_since < idle_before]:
-            connection.abort()
+            connection.abort(CloseCause.EXPIRED_IDLE)
 
     def _may_grow(self) -> bool:
         """Whether a further connection is within this endpoint's share, or in the unused part of the budget.
--- a/calicofall/proxy/discovery_watch.py
+++ b/calicofall/proxy/discovery_watch.py
@@ -123,7 +123,8 @@
 
     def _read_status(self, line: bytes) -> None:
         self.refused = line.split(b" ")[1:2] != [b"200"] or not line.startswith(b"HTTP/1.")
-        self.close_reason = f"answered {line[:40]!r}"
+        if self.refused:
+            self.close_reason = f"answered {line[:40]!r}"
         self.stage = WatchStage.HEADERS
 
     def _read_header(self, line: bytes) -> None:
--- a/calicofall/proxy/metrics.py
+++ b/calicofall/proxy/metrics.py
@@ -5,6 +5,8 @@
 
 from collections.abc import Callable, Iterable
 
+from calicofall.proxy.close_cause import CLIENT_CAUSES, UPSTREAM_CAUSES, CloseCause
+
 # The final answers of the router, and their names in metrics.
 METRIC_NAMES = {"completed": "answered", "exhausted": "deferred", "errored": "errored"}
 
@@ -25,6 +27,17 @@
         self.undelivered_closes = 0  # clients' connections that ended before the client had all output
         self.connection_waits = 0  # attempts that found no free connection and waited for one
 
+        self.client_closes = dict.fromkeys(sorted(CLIENT_CAUSES), 0)
+        self.upstream_closes = dict.fromkeys(sorted(UPSTREAM_CAUSES), 0)
+
+    def count_client_close(self, cause: CloseCause | None) -> None:
+        """Counts the end of a client's connection."""
+        self.client_closes[cause if cause in self.client_closes else CloseCause.OTHER] += 1
+
+    def count_upstream_close(self, cause: CloseCause | None) -> None:
+        """Counts the end of a connection to an endpoint."""
+        self.upstream_closes[cause if cause in self.upstream_closes else CloseCause.OTHER] += 1
+
     def count_answer(self, answer: str, method: str) -> None:
         """Counts the final answer of one request."""
         counts = self.answer_counts[answer]
@@ -63,4 +76,9 @@
             f"proxy.memory_wait_ms:{self.memory_wait_ms}|c",
             f"proxy.memory_refusals:{self.memory_refusals}|c",
         ]
-        return [*counter_lines, *attempt_lines, *gauge_lines]
+        close_lines = [
+            f"proxy.{side}_closed_{cause}:{count}|c"
+            for side, closes in (("client", self.client_closes), ("upstream", self.upstream_closes))
+            for cause, count in closes.items()
+        ]
+        return [*counter_lines, *attempt_lines, *close_lines, *gauge_lines]
--- a/calicofall/proxy/process_limits.py
+++ b/calicofall/proxy/process_limits.py
@@ -17,6 +17,9 @@
 QUARTER_OF_MB_SHIFT = 18
 
 
+MEBIBYTE = 1 << 20
+
+
 @dataclass(frozen=True, slots=True)
 class ProcessLimits:
     """The limits of one process.
@@ -32,6 +35,11 @@
     read_ahead_bytes: int
 
 
+def process_memory_bytes(node: dict[str, Any], process_count: int) -> int:
+    """Returns the memory (bytes) of one of `process_count` processes that share the limit of a node file."""
+    return memory_limit_mb(node) * MEBIBYTE // process_count
+
+
 def divide_limits(node: dict[str, Any], process_count: int) -> ProcessLimits:
     """Returns the limits of one of `process_count` processes that share the limits of a node file."""
     max_connections = max(MIN_CONNECTIONS, descriptor_limit(node) // process_count - RESERVED_DESCRIPTORS)
--- a/calicofall/proxy/server.py
+++ b/calicofall/proxy/server.py
@@ -43,8 +43,9 @@
 from calicofall.proxy.metrics import Metrics
 from calicofall.proxy.operator_calls import OperatorCalls
 from calicofall.proxy.outlier_reports import OutlierReports
-from calicofall.proxy.process_limits import divide_limits
+from calicofall.proxy.process_limits import divide_limits, process_memory_bytes
 from calicofall.proxy.process_lock import ProcessLock
+from calicofall.proxy.process_memory import ProcessMemory
 from calicofall.proxy.quota_enforcement import (
     HANDSHAKE_SLOTS,
     MAX_CLOCK_DRIFT,
@@ -131,7 +132,8 @@
         self.tick_due_at = float("inf")
         self.listener: Listener | None = None
         self.stopped = loop.create_future()
-        self.metrics = self._make_metrics()
+        self.end_reason = ""  # why the process ends
+        self.process_memory, self.metrics = self._make_metrics()
         self.connection_quotas = self._make_connection_quotas(deployment["rules"])
         self.recorder: Any = None
         self.router = self._make_router(deployment, seed)
@@ -162,13 +164,16 @@
 
     # Parts, each made once by the constructor
 
-    def _make_metrics(self) -> Metrics:
-        return Metrics(
+    def _make_metrics(self) -> tuple[ProcessMemory, Metrics]:
+        memory = ProcessMemory(process_memory_bytes(self.node, 1), self.loop.time, self.memory_usage)
+        return memory, Metrics(
             self.methods,
             {
                 "current": lambda: len(self.active_requests),
                 "cluster_size": lambda: len(self.upstreams.endpoint_names),
                 "cluster_unhealthy": lambda: self.router.heavily_degraded_count(self.now_ms()),
+                "memory_mb": memory.resident_mb,
+                "memory_limit_mb": memory.limit_mb,
             },
         )
 
@@ -563,6 +568,7 @@
                 },
             )
             limits = divide_limits(self.node, process_count)
+            self.process_memory.limit_bytes = process_memory_bytes(self.node, process_count)
             self.clients.memory.set_read_ahead(limits.read_ahead_bytes)
             self.upstreams.set_max_connections(limits.max_upstream_connections)
             self.clients.set_max_connections(limits.max_connections)
@@ -575,6 +581,7 @@
         self.adjust_to_processes()
         if "limits found" not in self.phases.elapsed_ms_by_phase and self.router.has_baselines():
             self.reach_phase("limits found")
+        self.process_memory.check()
         self.upstreams.close_expired_idle()
         self.clients.close_overdue()
         # asyncio's transports are reference cycles, which would stay in the older generations if only the
@@ -612,6 +619,11 @@
             await self.run()
         except asyncio.CancelledError:
             log.info("stopped", extra={"door": "listener was not open yet"})
+        except OSError:  # the command line prints it
+            raise
+        except Exception as error:
+            log.exception("process failed", extra={"reason": repr(error), **self.process_memory.log_fields()})
+            raise
         finally:
             self.process_lock.release()
             self.management.close()
@@ -669,6 +681,7 @@
                 "proxy": self.node["name"],
                 "listen": self.node["listen"],
                 "caches": len(self.upstreams.pools),
+                **self.process_memory.log_fields(),
             },
         )
         await self.stopped
@@ -676,7 +689,8 @@
         self.clients.discard_unread_input()
         self.discovery.stop()
         self.requests.log_latencies()
-        log.info("stopped", extra=self.metrics.totals() | {"broken": dict(violation_counts) or None})
+        fields: dict[str, object] = {"reason": self.end_reason, **self.process_memory.log_fields()}
+        log.info("stopped", extra=fields | self.metrics.totals() | {"broken": dict(violation_counts) or None})
 
     def on_sighup(self, reread_configuration: Callable[[], dict[str, Any]]) -> None:
         """Handles SIGHUP: applies the discovery address of the file, and logs which fields need a restart."""
@@ -714,6 +728,17 @@
 
     # State
 
+    def memory_usage(self) -> dict[str, int]:
+        """Returns what the proxy counts of its memory, for log lines (bytes, or numbers of objects)."""
+        memory = self.clients.memory
+        return {
+            "clients": len(self.clients.connections),
+            "calls": len(self.active_requests),
+            "buffered": memory.buffered_bytes,
+            "incomplete": memory.partial_command_bytes,
+            "waiting": len(memory.waiting),
+        }
+
     def handle_call(self, call: str) -> str:
         """Executes an operator's call and returns the reply."""
         return self.operator_calls.handle(call)
@@ -761,16 +786,17 @@
     def expire_requests(self) -> None:
         """Expires all requests in flight, since the process is killed soon after its SIGTERM."""
         self.requests.expire_all()
-        self.loop.call_later(STOP_DELAY_S, self.end)
+        self.loop.call_later(STOP_DELAY_S, self.end, "the time to shut down has ended")
 
     def end_when_idle(self) -> None:
         """Stops the proxy once no request is in flight and every client connection is closed."""
         if self.active_requests or self.clients.connections:
             self.loop.call_later(0.02, self.end_when_idle)
         else:
-            self.end()
+            self.end("all clients are answered and gone")
 
-    def end(self) -> None:
+    def end(self, reason: str) -> None:
         """Lets `run` return."""
         if not self.stopped.done():
+            self.end_reason = reason
             self.stopped.set_result(None)
--- a/calicofall/proxy/upstream.py
+++ b/calicofall/proxy/upstream.py
@@ -14,6 +14,7 @@
 from calicofall.config.addresses import parse_address
 from calicofall.config.endpoint_list import format_endpoint_list
 from calicofall.fleet.in_flight_quota import InFlightQuota
+from calicofall.proxy.close_cause import CloseCause
 from calicofall.proxy.connection import BufferedConnection
 from calicofall.proxy.connection_pool import ConnectionPool
 from calicofall.proxy.metrics import Metrics
@@ -127,7 +128,7 @@
         if excess > 0:
             idle = [c for pool in self.pools.values() for c in pool.connections if c.is_idle]
             for connection in sorted(idle, key=lambda c: c.idle_since)[:excess]:
-                connection.abort()
+                connection.abort(CloseCause.REPLACED)
 
     def set_max_connections(self, max_connections: int) -> None:
         """Sets the budget of connections to all endpoints together."""
@@ -303,7 +304,7 @@
         """Closes all connections at once."""
         for pool in self.pools.values():
             for connection in list(pool.connections):
-                connection.abort()
+                connection.abort(CloseCause.SHUTDOWN)
 
     def _count_late_repeat(self, command: UpstreamCommand) -> None:
         self.metrics.late_repeats += 1
@@ -350,6 +351,6 @@
         # No further byte of the command may be sent, and its queued bytes can only be discarded by closing
         # the connection. The command is removed first, so that the abort reports no outcome for it.
         connection.command = None
-        connection.abort()
+        connection.abort(CloseCause.GIVEN_UP)
         connection.pool.preconnect()
         return outcome
--- a/calicofall/proxy/upstream_connection.py
+++ b/calicofall/proxy/upstream_connection.py
@@ -21,6 +21,7 @@
 from calicofall.proxy import resp
 from calicofall.proxy.bounded_delivery import HAND_OVER_MARGIN_S, BoundedDelivery
 from calicofall.proxy.client_protocol import CACHE_STATUSES, parse_load_report
+from calicofall.proxy.close_cause import CloseCause
 from calicofall.proxy.connection import BufferedConnection
 from calicofall.proxy.kernel_buffers import discard_output_on_close
 from calicofall.proxy.reply_parser import ReplyParser
@@ -106,10 +107,10 @@
         while not self.closed:
             if self.command is None:
                 if len(self.input):
-                    self.abort()
+                    self.abort(CloseCause.UNEXPECTED_INPUT)
                 return
             if self.unsent_end_offset:  # the command's last byte has not left: this is not its reply
-                self.abort()
+                self.abort(CloseCause.UNEXPECTED_INPUT)
                 return
             try:
                 value = self.parser.read()
@@ -223,7 +224,7 @@
         # If only the load report of a reply is missing, `on_close` uses the reply.
         if self.parser.reply_without_load_report() is None:
             self.pool.upstreams.log_malformed_reply(self.pool.name, reason)
-        self.abort()
+        self.abort(CloseCause.MALFORMED_REPLY)
 
     def has_no_unread_input(self) -> bool:
         """Whether the socket has nothing to read, neither more input nor a close.
@@ -238,7 +239,7 @@
             self.idle_since = self.loop.time()
             self.pool.send_waiting_soon()
         else:
-            self.abort()
+            self.abort(CloseCause.ENDPOINT_LEFT)
 
     def never_ran(self, command: "UpstreamCommand") -> bool:
         """Whether a command's last byte has not been sent, so that it cannot have run."""
@@ -255,7 +256,7 @@
         """Whether the endpoint's kernel has acknowledged the whole command."""
         return not (self.never_ran(command) or self.has_undelivered_output())
 
-    def abort(self) -> None:
+    def abort(self, cause: CloseCause | None = None) -> None:
         """Closes the connection at once; output that has not been delivered is discarded.
 
         A usual close would let the kernel deliver what it holds, perhaps the last byte of a command that is
@@ -264,7 +265,7 @@
         if not self.closed and self.transport is not None and self.has_undelivered_output():
             self.discards_output = True
             discard_output_on_close(self.transport)
-        super().abort()
+        super().abort(cause)
 
     def on_close(self) -> None:
         """The connection is closed: its command has failed."""
@@ -272,6 +273,7 @@
         self._end_delivery()
         if self.stall_timer is not None:
             self.stall_timer.cancel()
+        self.pool.upstreams.metrics.count_upstream_close(self.close_cause)
         self.pool.on_connection_closed(self)
         if self.copy_discarded:  # it may have been the command's own reply, as no other one came
             self.pool.upstreams.reply_distinctness.add(False)
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -373,7 +373,7 @@
         while proxy.listener is None:
             await asyncio.sleep(0.01)
         duration_s, has_answered = loop.time() - answered_at, proxy.discovery.has_answered
-        proxy.end()
+        proxy.end("the test is over")
         await serve_task
         proxy.listener.close()
         return duration_s, has_answered
--- a/tests/test_operation.py
+++ b/tests/test_operation.py
@@ -13,6 +13,7 @@
 from helpers import SETTINGS, FakeTransport, ProxyHarness, encode_reply, encode_request, endpoint
 
 from calicofall.proxy import graceful_shutdown, resp
+from calicofall.proxy.close_cause import CLIENT_CAUSES, UPSTREAM_CAUSES, CloseCause
 from calicofall.proxy.management import CALL_TIMEOUT_S, MAX_LINE_BYTES, MAX_OPERATOR_CONNECTIONS
 from calicofall.routing.decisions import Wait
 
@@ -103,7 +104,12 @@
 def test_all_counters_are_listed_from_the_start() -> None:
     harness = ProxyHarness()
     counters = read_counters(harness)
-    assert counters == {
+    assert counters.pop("proxy.memory_mb") > 0
+    assert counters.pop("proxy.upstream_closed_shutdown") == 6  # the harness closes what was opened ahead
+    close_names = {f"proxy.client_closed_{cause}" for cause in CLIENT_CAUSES} | {
+        f"proxy.upstream_closed_{cause}" for cause in UPSTREAM_CAUSES - {CloseCause.SHUTDOWN}
+    }
+    assert counters == dict.fromkeys(close_names, 0) | {"proxy.memory_limit_mb": 192} | {
         f"proxy.{name}.{method}": 0
         for name in ("answered", "deferred", "errored")
         for method in ("read", "save", "order")
