A reply whose bytes pause is awaited while its request has time

Cause: UpstreamConnection.check_stall took 60 ms without more of a reply for a broken reply and closed the connection, at one cache after the other; an attempt's own time-out did the same.

An incomplete reply is now awaited until another endpoint can just still answer in its place (100 ms or two baselines before the deadline, at most a quarter of the request's time), or until the deadline if the request may not be repeated. A reply that still arrives then is read on. A streamed value is not given up before its request's deadline. If only the load report is missing the client is answered after 60 ms, as before.

Price: such a reply costs its request up to three quarters of its time instead of 60 ms, where two attempts at once are not allowed.

--- a/calicofall/proxy/request_lifecycle.py
+++ b/calicofall/proxy/request_lifecycle.py
@@ -11,6 +11,7 @@
 import logging
 from collections.abc import Callable
 from itertools import count
+from math import inf
 from typing import TYPE_CHECKING, Any
 
 from hdrh.histogram import HdrHistogram
@@ -197,6 +198,14 @@
         ends_at_ms = self.router.repeat_ends_at(command.active_request.request, command.attempt_index)
         return (ends_at_ms - self.proxy.wall_clock_offset_ms) / 1000.0
 
+    def incomplete_reply_due_at(self, command: UpstreamCommand) -> float:
+        """Returns until when an incomplete reply is awaited (s, loop time); -inf if nobody waits for it."""
+        request = command.active_request.request
+        if request.finished:
+            return -inf
+        due_at_ms = request.expires_at if request.streaming else self.router.incomplete_reply_due_at(request)
+        return (due_at_ms - self.proxy.wall_clock_offset_ms) / 1000.0
+
     def find_sink(
         self, command: UpstreamCommand, size: int, request_next_chunk: Callable[[], None]
     ) -> PendingReply | None:
--- a/calicofall/proxy/server.py
+++ b/calicofall/proxy/server.py
@@ -249,6 +249,7 @@
         )
         self.upstreams.may_send = self.requests.may_send
         self.upstreams.arrives_by = self.requests.arrives_by
+        self.upstreams.incomplete_reply_due_at = self.requests.incomplete_reply_due_at
         self.clients = ClientConnections(
             self.loop,
             limits.max_connections,
--- a/calicofall/proxy/upstream.py
+++ b/calicofall/proxy/upstream.py
@@ -87,6 +87,8 @@
         self.may_send: Callable[[UpstreamCommand], bool] = lambda command: True
         # Called right before a command is written: when its last byte has to have arrived (s, loop time).
         self.arrives_by: Callable[[UpstreamCommand], float] = lambda command: inf
+        # Until when the rest of a command's reply is awaited once it has begun (s, loop time).
+        self.incomplete_reply_due_at: Callable[[UpstreamCommand], float] = lambda command: -inf
         # Whether the budget of descriptors shared with clients allows one more connection.
         self.shared_budget_has_capacity: Callable[[], bool] = lambda: True
         self.in_flight_quota: InFlightQuota | None = None  # None if the settings set no limit
@@ -200,7 +202,7 @@
         command = UpstreamCommand(active_request, attempt_index, render, now_ms, answer_due_at)
         # Before the command is sent: if it fails at once, the next attempt is made within this call.
         active_request.command = command
-        command.timer = self.loop.call_at(answer_due_at, self.cancel_command, command, "timeout")
+        command.timer = self.loop.call_at(answer_due_at, self.time_out, command)
         arrives_by = self.arrives_by(command)
         if arrives_by < inf:
             command.unsent_repeat_timer = self.loop.call_at(arrives_by, self.end_unsent_repeat, command)
@@ -218,6 +220,18 @@
             has_quota = quotas.handshakes_per_s is not None or quotas.max_connections is not None
             self.loop.call_soon(self.finish, command, "held" if has_quota else "unconnected")
 
+    def time_out(self, command: UpstreamCommand) -> None:
+        """Cancels a command whose time is up; a reply that has begun is awaited for longer."""
+        if command.finished:
+            return
+        connection = command.connection
+        if connection is not None and connection.is_receiving_reply(command):
+            due_at = self.incomplete_reply_due_at(command)
+            if due_at > self.loop.time():
+                command.timer = self.loop.call_at(due_at, self.time_out, command)
+                return
+        self.cancel_command(command, "timeout")
+
     def cancel_command(self, command: UpstreamCommand, outcome: str) -> None:
         """Cancels a command; one that was written in part or whole is cancelled by closing its connection."""
         if command.finished:
--- a/calicofall/proxy/upstream_connection.py
+++ b/calicofall/proxy/upstream_connection.py
@@ -30,11 +30,11 @@
     from calicofall.proxy.connection_pool import ConnectionPool
     from calicofall.proxy.upstream_command import UpstreamCommand
 
-STALL_TIMEOUT_S = 0.06  # maximum pause within a reply
+PAUSE_S = 0.06  # without more of an incomplete reply, after which it is no longer arriving
 # Time after a reply in which a second copy of it may arrive: some milliseconds, the 40 ms for which the
 # endpoint's kernel may hold a small write back until the previous one is acknowledged, and a reserve.
 REPLY_SETTLE_S = 0.08
-STREAM_STALL_TIMEOUT_S = 2.5  # maximum pause within a long reply, while its client accepts output
+STREAM_STALL_TIMEOUT_S = 2.5  # pause within a long reply that ends it, once its request has no more time
 
 
 class UpstreamConnection(BufferedConnection):
@@ -200,24 +200,35 @@
         self.streams_reply = False
         self.copy_discarded = False
 
-    def check_stall(self) -> None:
-        """Aborts a connection on which an incomplete reply has stalled; else schedules another check.
+    def is_receiving_reply(self, command: "UpstreamCommand") -> bool:
+        """Whether a part of the reply to a command has been received."""
+        return self.command is command and not self.closed and self.parser.has_partial_message()
 
-        Otherwise an incomplete reply would be awaited until its command times out.
-        """
+    def check_stall(self) -> None:
+        """Aborts a connection whose incomplete reply is no longer awaited; else schedules another check."""
         self.stall_timer = None
         if self.closed or self.reading_paused or not self.parser.has_partial_message():
             return
-        # A client may have received a part of a long answer, which no other endpoint can complete: such an
-        # answer gets more time.
-        is_streamed = self.command is not None and self.command.sink is not None
-        timeout_s = STREAM_STALL_TIMEOUT_S if is_streamed else STALL_TIMEOUT_S
-        left_s = self.progress_at + timeout_s - self.loop.time()
-        if left_s > 0.0:
-            self.stall_timer = self.loop.call_later(left_s, self.check_stall)
+        due_at = self._incomplete_reply_due_at()
+        if due_at > self.loop.time():
+            self.stall_timer = self.loop.call_at(due_at, self.check_stall)
         else:
             self.fail_malformed("incomplete reply has stalled")
 
+    def _incomplete_reply_due_at(self) -> float:
+        """Returns until when the incomplete reply is awaited (s, the loop's clock).
+
+        A pause does not end it while its request has time, since most endpoints go on. A client may have
+        received a part of a long answer, which no other endpoint can complete: such an answer gets more time.
+        If only the load report is missing, the client need not wait for it.
+        """
+        command = self.command
+        is_streamed = command is not None and command.sink is not None
+        due_at = self.progress_at + (STREAM_STALL_TIMEOUT_S if is_streamed else PAUSE_S)
+        if command is None or self.parser.reply_without_load_report() is not None:
+            return due_at
+        return max(due_at, self.pool.upstreams.incomplete_reply_due_at(command))
+
     def fail_malformed(self, reason: str) -> None:
         """Aborts the connection after malformed input: what follows cannot be parsed as replies either."""
         self.malformed = True
@@ -344,7 +355,7 @@
         """Records progress, and starts the check that an incomplete reply does not stall."""
         self.progress_at = self.loop.time()
         if self.stall_timer is None and self.parser.has_partial_message() and not self.reading_paused:
-            self.stall_timer = self.loop.call_later(STALL_TIMEOUT_S, self.check_stall)
+            self.stall_timer = self.loop.call_later(PAUSE_S, self.check_stall)
 
 
 def fingerprint(value: Any) -> int | None:
--- a/calicofall/routing/router.py
+++ b/calicofall/routing/router.py
@@ -324,6 +324,10 @@
             return False
         return now < self.repeat_ends_at(request, attempt_index)
 
+    def incomplete_reply_due_at(self, request: Request) -> float:
+        """Returns until when an incomplete reply to a request is awaited (ms)."""
+        return self.policy.timeouts.incomplete_reply_due_at(request)
+
     def repeat_ends_at(self, request: Request, attempt_index: int) -> float:
         """Returns when the last byte of an attempt has to have arrived, so that it takes no second effect.
 
--- a/calicofall/routing/timeouts.py
+++ b/calicofall/routing/timeouts.py
@@ -4,7 +4,7 @@
 from calicofall.routing.knowledge import SharedComponents
 from calicofall.routing.outlier_detection import OutlierDetector
 from calicofall.routing.request import Request, RetrySafety
-from calicofall.routing.retry_policy import RetryPolicy
+from calicofall.routing.retry_policy import RetryPolicy, is_repeat_safe
 from calicofall.routing.settings import MethodSettings
 
 OBJECTIVE_MARGIN_MS = 5.0  # work on an answer ends so long before its latency objective
@@ -14,6 +14,10 @@
 READ_TIMEOUT_BASELINES = 3.0
 FETCH_TIMEOUT_BASELINES = 1.3
 SECOND_ATTEMPT_BASELINES = 2.0
+# Time kept for another attempt while an incomplete reply is awaited: at least so long, but no more than this
+# fraction of the request's time.
+MIN_SECOND_ATTEMPT_MS = 100.0
+MAX_SECOND_ATTEMPT_FRACTION = 0.25
 
 
 class Timeouts:
@@ -55,6 +59,23 @@
             return min(request.expires_at, objective_at) - now
         return request.expires_at - now
 
+    def incomplete_reply_due_at(self, request: Request) -> float:
+        """Returns until when an incomplete reply is awaited (ms).
+
+        A pause within a reply says nothing of its endpoint. The reply is awaited while another endpoint could
+        still answer in its place, or until the deadline if there may be no other attempt.
+        """
+        method = self._settings.by_method[request.method]
+        baseline_ms = self._latency.baseline_ms(request.method)
+        kept_ms = MAX_SECOND_ATTEMPT_FRACTION * (request.expires_at - request.arrived_at)
+        if baseline_ms:
+            kept_ms = min(kept_ms, max(MIN_SECOND_ATTEMPT_MS, SECOND_ATTEMPT_BASELINES * baseline_ms))
+        due_at = request.expires_at - kept_ms
+        may_repeat = len(request.attempts) < self._settings.max_attempts and is_repeat_safe(
+            due_at, method, request.first_possibly_run()
+        )
+        return due_at if may_repeat else request.expires_at
+
     def attempt_timeout_ms(self, now: float, request: Request, endpoint: Endpoint) -> float:
         """Returns the time-out of an attempt: a read times out while another endpoint can still answer.
 
--- a/tests/test_large.py
+++ b/tests/test_large.py
@@ -210,6 +210,8 @@
     harness = ProxyHarness().with_high_limits()
     client, upstream = send_request(harness)
     upstream.feed(b"*3\r\n$1000000\r\n")
+    harness.loop.advance(0.6)
+    assert upstream.open
     harness.loop.advance(0.1)
     assert not upstream.open and not client.sent
     harness.connect_upstream().feed(encode_reply(b"elsewhere"))
