--- a/tests/test_memory_limit.py
+++ b/tests/test_memory_limit.py
@@ -131,3 +131,13 @@
 
 def test_all_crowds_at_once_keep_the_process_within_its_memory(tmp_path: Path) -> None:
     run_crowds(tmp_path, [(client, number // 4) for client, number in CROWDS.values()], 60_000)
+
+
+def test_proxy_loads_no_openssl(tmp_path: Path) -> None:
+    async def body(deployment: Deployment) -> None:
+        proxy = await deployment.start()
+        mapped = Path(f"/proc/{proxy.process.pid}/maps").read_text()
+        assert "libssl" not in mapped
+        assert "libcrypto" not in mapped
+
+    run_deployment(tmp_path, 1, body)
