Clients' input that is no command is an error at once, and short values wait for room, too

Cause: the parser bounded the bytes of a message (4 MiB), not what they become. Members of nested arrays were kept as objects; fields of up to 64 KiB, 32 of them, were kept and counted nowhere, since only the connection's ring buffer was; values of up to 64 KiB asked for no room before they were read.

A parser of commands refuses a nested array and any part over 2 KiB that isn't the value at its first line, and keeps six parts at most. A value over 2 KiB waits for room as one over 64 KiB did. Kept parts are counted.

--- a/calicofall/openssl.py
+++ b/calicofall/openssl.py
@@ -1,7 +1,7 @@
 """Keeps OpenSSL out of a process that does not need it.
 
-`asyncio` and `hashlib` load it where it is installed, and work without it. It takes some megabytes of resident
-memory, which is a sixth of the least memory that a proxy may have.
+`asyncio` and `hashlib` load it where it is installed, and work without it. It takes some megabytes of
+resident memory, which is a sixth of the least memory that a proxy may have.
 """
 
 import sys
--- a/calicofall/proxy/client_connection.py
+++ b/calicofall/proxy/client_connection.py
@@ -92,7 +92,7 @@
         super().__init__(clients.loop)
         self.clients = clients
         self.closing_stall_timeout_s = clients.stall_timeout_s
-        self.parser = CommandParser(self.input, asks_for_long_values=True)
+        self.parser = CommandParser(self.input, commands_only=True)
         self.replies: deque[PendingReply] = deque()
         self.reading_paused = False
         self.reading_paused_at = 0.0  # when reading was last paused (s, the loop's clock)
@@ -186,7 +186,7 @@
         """
         if self.parser.long_value_awaits_decision:
             return NO_PARTIAL_COMMAND
-        buffer_bytes = len(self.input.memory)
+        buffer_bytes = len(self.input.memory) + self.parser.kept_bytes()
         long_value_bytes = self.parser.long_value_bytes
         return (0, buffer_bytes + long_value_bytes) if long_value_bytes else (buffer_bytes, 0)
 
--- a/calicofall/proxy/command_parser.py
+++ b/calicofall/proxy/command_parser.py
@@ -1,10 +1,11 @@
 """Parser of clients' commands, which reads from a ring buffer.
 
-Invariants: it never blocks and reads nothing but its buffer; the memory that a peer can make it use is
-bounded; a byte that cannot occur at its position in a command is reported at once, not after more input; a
-long value is not read before it is accepted or discarded, if the parser was created to ask for that.
+Invariants: it never blocks and reads nothing but its buffer; a byte that cannot occur at its position in a
+command is reported at once, not after more input. A parser of commands alone does not read a long value
+before it is accepted or discarded, and keeps MAX_COMMAND_PARTS + 1 parts of MAX_FIELD_BYTES besides it.
 """
 
+from dataclasses import dataclass
 from enum import Enum
 from io import BytesIO
 from typing import Any
@@ -30,6 +31,11 @@
 SHORT_COMMAND_PARTS = 5
 LINE_FEED = 10
 CARRIAGE_RETURN = 13
+# Of a parser of commands alone. One more part is kept, so that there are seen to be too many.
+MAX_COMMAND_PARTS = 5
+MAX_FIELD_BYTES = 2048  # of any part but the value, the last one of MAX_COMMAND_PARTS
+SHORT_VALUE_BYTES = 2048  # a longer value waits until it is accepted or discarded
+PART_OVERHEAD_BYTES = 64  # of the object that holds a part
 DIGITS = frozenset(b"0123456789")
 ARRAY_HEADS = {b"*%d" % count: count for count in range(1, SHORT_COMMAND_PARTS + 1)}
 TYPE_MARKERS = frozenset({b"$", b"*", b"+", b"-", b":"})
@@ -44,24 +50,36 @@
     DISCARDED = "discarded"  # it is read and replaced by an empty value
 
 
+@dataclass(slots=True)
+class IncompleteArray:
+    """An array of which some members have not been received."""
+
+    length: int
+    members: list[Any]  # those that are kept
+    received_count: int = 0
+
+
 class CommandParser:
     """Reads one value after the other and keeps the received part of a value until it is complete."""
 
-    def __init__(self, ring: RingBuffer, asks_for_long_values: bool = False) -> None:
+    def __init__(self, ring: RingBuffer, commands_only: bool = False) -> None:
         """Creates a parser.
 
         Args:
             ring: The input.
-            asks_for_long_values: Whether a long value waits until it is accepted or discarded.
+            commands_only: Whether only commands are valid, arrays of short bulk strings and a value, and a
+                long value waits until it is accepted or discarded.
         """
         self.ring = ring
-        self.initial_use = LongValueUse.UNDECIDED if asks_for_long_values else LongValueUse.ACCEPTED
-        # For each incomplete array, the outermost first: the members received so far and its length.
-        self.incomplete_arrays: list[tuple[list[Any], int]] = []
+        self.commands_only = commands_only
+        self.long_value_threshold = SHORT_VALUE_BYTES if commands_only else STREAMING_THRESHOLD_BYTES
+        self.read_size = STREAMING_THRESHOLD_BYTES  # how much of a long value is received at once
+        self.incomplete_arrays: list[IncompleteArray] = []  # the outermost first
         self.bulk_length = -1  # of the bulk string that is being received; -1 outside a bulk string
-        self.long_value = BytesIO()  # received part of a long bulk string; returns it without another copy
+        # Received part of a long bulk string; returns it without another copy.
+        self.long_value: BytesIO | None = None
         self.bulk_bytes_read = 0
-        self.long_value_use = self.initial_use
+        self.long_value_use = LongValueUse.ACCEPTED
         self.scanned_bytes = 0  # length of the incomplete line in which no line feed was found
         self.message_bytes = 0
 
@@ -94,7 +112,7 @@
     @property
     def is_reading_long_value(self) -> bool:
         """Whether a long value is being received, for which memory is allocated as it arrives."""
-        return self.bulk_length > STREAMING_THRESHOLD_BYTES
+        return self.bulk_length > self.long_value_threshold
 
     @property
     def long_value_awaits_decision(self) -> bool:
@@ -117,7 +135,12 @@
 
     def parts_received(self) -> list[Any]:
         """Returns the complete members of the outermost array that is incomplete."""
-        return self.incomplete_arrays[0][0] if self.incomplete_arrays else []
+        return self.incomplete_arrays[0].members if self.incomplete_arrays else []
+
+    def kept_bytes(self) -> int:
+        """Returns the memory of the complete members of arrays that are incomplete."""
+        parts = self.parts_received()
+        return sum(PART_OVERHEAD_BYTES + (len(part) if isinstance(part, bytes) else 0) for part in parts)
 
     def has_partial_message(self) -> bool:
         """Whether a value has been received in part."""
@@ -132,13 +155,14 @@
         return len(self.ring) >= self.bulk_length - self.bulk_bytes_read + 2
 
     def _take_bulk(self) -> bytes:
-        is_chunked = self.bulk_bytes_read > 0
-        value = self.long_value.getvalue() if is_chunked else self.ring.take(self.bulk_length)
+        if self.bulk_bytes_read == 0:
+            value = self.ring.take(self.bulk_length)
+        else:
+            value = b"" if self.long_value is None else self.long_value.getvalue()
         self.bulk_length = -1
         self.bulk_bytes_read = 0
-        if is_chunked:
-            self.long_value = BytesIO()
-        self.long_value_use = self.initial_use
+        self.long_value = None
+        self.long_value_use = LongValueUse.ACCEPTED
         if self.ring.take(2) != b"\r\n":
             raise ProtocolError("a bulk string of another length than announced")
         return value
@@ -164,17 +188,34 @@
             return None
         self._add_message_bytes(length)
         self.bulk_length = length
+        if self.commands_only and length > min(MAX_FIELD_BYTES, SHORT_VALUE_BYTES):
+            self._check_long_part(length)
         return VALUE_OPENED
 
+    def _check_long_part(self, length: int) -> None:
+        """Lets a long value wait for a decision.
+
+        Raises:
+            ProtocolError: It is another part of the command, and too long.
+        """
+        before_value = MAX_COMMAND_PARTS - 1
+        if any(
+            command.length == MAX_COMMAND_PARTS and command.received_count == before_value
+            for command in self.incomplete_arrays
+        ):
+            self.long_value_use = LongValueUse.UNDECIDED
+        elif length > MAX_FIELD_BYTES:
+            raise ProtocolError("a part of a command too long")
+
     def _start_array(self, length_text: bytes) -> Value | Incomplete:
         length = self._parse_length(length_text, MAX_ARRAY_MEMBERS)
         if length < 0:
             return None
         if length == 0:
             return []
-        if len(self.incomplete_arrays) >= MAX_ARRAY_DEPTH:
+        if len(self.incomplete_arrays) >= (1 if self.commands_only else MAX_ARRAY_DEPTH):
             raise ProtocolError("arrays too deep")
-        self.incomplete_arrays.append(([], length))
+        self.incomplete_arrays.append(IncompleteArray(length, []))
         return VALUE_OPENED
 
     def _parse_length(self, text: bytes, maximum: int) -> int:
@@ -192,25 +233,32 @@
             Whether the outermost value is complete now, and that value.
         """
         while self.incomplete_arrays:
-            members, length = self.incomplete_arrays[-1]
-            members.append(value)
-            if len(members) < length:
+            array = self.incomplete_arrays[-1]
+            array.received_count += 1
+            if self._keeps_member(array):
+                array.members.append(value)
+            if array.received_count < array.length:
                 return False, None
-            value = members
+            value = array.members
             self.incomplete_arrays.pop()
         self.message_bytes = 0
         return True, value
 
+    def _keeps_member(self, array: IncompleteArray) -> bool:
+        return not self.commands_only or len(array.members) <= MAX_COMMAND_PARTS
+
     def _read_long_value(self) -> bool:
         """Reads the received bytes of a long value; returns whether the value is complete."""
         left = self.bulk_length - self.bulk_bytes_read
         chunk = self.ring.take(min(len(self.ring), left))
         if chunk:
             if self.long_value_use is LongValueUse.ACCEPTED:
+                if self.long_value is None:
+                    self.long_value = BytesIO()
                 self.long_value.write(chunk)
             self.bulk_bytes_read += len(chunk)
             left -= len(chunk)
-        self.ring.reserve(min(STREAMING_THRESHOLD_BYTES, left + 2))
+        self.ring.reserve(min(self.read_size, left + 2))
         return left == 0
 
     def _read_short_command(self) -> list[bytes] | None:
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -588,13 +588,25 @@
 
 def test_incomplete_large_commands_stay_within_the_memory_limit() -> None:
     """Hundreds of clients that stall in the middle of a command of 64 KiB would have used more than 32 MB."""
-    harness, partial_command = ProxyHarness(), encode_request("save", value=bytes(60_000))[:40_000]
-    harness.proxy.clients.memory.read_ahead_bytes = 2 << 20
+    harness = ProxyHarness()
+    memory = harness.proxy.clients.memory
+    memory.read_ahead_bytes = 2 << 20
+    harness.proxy.upkeep()
     clients = [harness.client() for _ in range(200)]
-    for client in clients:
-        client.feed(partial_command)
-    assert sum(len(client.stream.input.memory) for client in clients) <= 3 << 20
-    assert clients[0].sent.startswith(b"-ERR") and not clients[-1].sent
+    unsent = {client: encode_request("save", value=bytes(60_000))[:40_000] for client in clients}
+
+    def write_what_is_read() -> None:
+        for client in clients:
+            while unsent[client] and client.open and not client.paused:
+                client.feed(unsent[client][:4096])
+                unsent[client] = unsent[client][4096:]
+            assert memory.partial_command_bytes <= 4 << 20
+        assert sum(len(client.stream.input.memory) for client in clients) <= 3 << 20
+
+    for _ in range(80):
+        write_what_is_read()
+        harness.loop.advance(0.05)
+    assert all(client.sent.startswith((b"-ERR", b"-BUSY")) for client in clients)
     for client in clients:
         client.abort()
     assert (
