A connection has buffers only while it has something in them

Cause: each connection had a ring buffer of 4 KiB and three deques from its start, and a closed one kept them until the garbage collection that ends the transport's reference cycle.

--- a/calicofall/proxy/buffers.py
+++ b/calicofall/proxy/buffers.py
@@ -10,18 +10,21 @@
 
 MIN_CAPACITY_BYTES = 4096
 MAX_CAPACITY_BYTES = 1 << 23
+NO_MEMORY = bytearray(1)  # of a buffer without content; nothing is written to it
+NO_MEMORY_VIEW = memoryview(NO_MEMORY)
 
 
 class RingBuffer:
-    """Input that has not been parsed yet; its memory doubles on demand and shrinks when it becomes empty."""
+    """Input that has not been parsed yet; its memory doubles on demand and is released when it is empty."""
 
     __slots__ = ("memory", "view", "offset", "length", "max_bytes")
 
     def __init__(self, max_bytes: int = MAX_CAPACITY_BYTES) -> None:
         self.max_bytes = max_bytes
+        self.memory = NO_MEMORY
+        self.view = NO_MEMORY_VIEW
         self.offset = 0
         self.length = 0
-        self._allocate(MIN_CAPACITY_BYTES)
 
     def __len__(self) -> int:
         return self.length
@@ -33,7 +36,10 @@
             BufferError: The buffer is full and has its maximum size.
         """
         capacity = len(self.memory)
-        if self.length == capacity:
+        if self.memory is NO_MEMORY:
+            self._allocate(MIN_CAPACITY_BYTES)
+            capacity = MIN_CAPACITY_BYTES
+        elif self.length == capacity:
             self._grow(capacity + 1)
             capacity = len(self.memory)
         if not self.length:
@@ -52,7 +58,7 @@
         Raises:
             BufferError: `count` is greater than the maximum size.
         """
-        if count > len(self.memory):
+        if count > max(len(self.memory), MIN_CAPACITY_BYTES):
             self._grow(count, exactly=True)
 
     def write(self, data: bytes | memoryview) -> None:
@@ -84,8 +90,22 @@
         """Removes the next `count` bytes."""
         self.offset = (self.offset + count) % len(self.memory)
         self.length -= count
-        if not self.length and len(self.memory) > MIN_CAPACITY_BYTES:
-            self._allocate(MIN_CAPACITY_BYTES)
+        if not self.length:
+            self._release()
+
+    def compact(self) -> None:
+        """Releases the memory that the content does not need."""
+        if self.length < len(self.memory) // 2:
+            content = self.peek(self.length)
+            self._release()
+            if content:
+                self._allocate(len(content))
+                self.view[:] = content
+                self.length = len(content)
+
+    def allocated_bytes(self) -> int:
+        """Returns the memory that is allocated."""
+        return 0 if self.memory is NO_MEMORY else len(self.memory)
 
     def take(self, count: int) -> bytes:
         """Removes and returns up to `count` bytes."""
@@ -109,6 +129,12 @@
                 return index + capacity - self.offset
         return -1
 
+    def _release(self) -> None:
+        self.memory = NO_MEMORY
+        self.view = NO_MEMORY_VIEW
+        self.offset = 0
+        self.length = 0
+
     def _allocate(self, capacity: int) -> None:
         self.memory = bytearray(capacity)
         self.view = memoryview(self.memory)
@@ -116,7 +142,7 @@
         self.length = 0
 
     def _grow(self, needed: int, exactly: bool = False) -> None:
-        capacity = needed if exactly else len(self.memory)
+        capacity = needed if exactly else max(len(self.memory), MIN_CAPACITY_BYTES)
         while capacity < needed:
             capacity *= 2
         if capacity > self.max_bytes:
@@ -135,7 +161,7 @@
     __slots__ = ("chunks", "length", "max_bytes")
 
     def __init__(self, max_bytes: int = MAX_CAPACITY_BYTES) -> None:
-        self.chunks: deque[memoryview] = deque()
+        self.chunks: deque[memoryview] | None = None  # only while there is output: it takes half a kilobyte
         self.length = 0
         self.max_bytes = max_bytes
 
@@ -153,9 +179,16 @@
                 f"output queue: {self.length + len(data)} bytes exceed the maximum of {self.max_bytes} bytes"
             )
         if len(data):
+            if self.chunks is None:
+                self.chunks = deque()
             self.chunks.append(memoryview(data))
             self.length += len(data)
 
+    def clear(self) -> None:
+        """Discards all chunks."""
+        self.chunks = None
+        self.length = 0
+
     def take(self, max_count: int) -> memoryview | bytes:
         """Removes and returns up to `max_count` bytes: part of one chunk, or several small chunks joined."""
         taken: list[memoryview] = []
@@ -168,4 +201,6 @@
             taken.append(chunk)
             remaining -= len(chunk)
         self.length -= max_count - remaining
+        if not self.chunks:
+            self.chunks = None
         return taken[0] if len(taken) == 1 else b"".join(taken)
--- a/calicofall/proxy/client_connection.py
+++ b/calicofall/proxy/client_connection.py
@@ -6,7 +6,6 @@
 
 import asyncio
 import logging
-from collections import deque
 from collections.abc import Callable
 from typing import TYPE_CHECKING, Any
 
@@ -93,7 +92,7 @@
         self.clients = clients
         self.closing_stall_timeout_s = clients.stall_timeout_s
         self.parser = CommandParser(self.input, commands_only=True)
-        self.replies: deque[PendingReply] = deque()
+        self.replies: list[PendingReply] = []  # at most MAX_PIPELINED_COMMANDS
         self.reading_paused = False
         self.reading_paused_at = 0.0  # when reading was last paused (s, the loop's clock)
         self.held_input = HeldInput()
@@ -143,7 +142,7 @@
             answer = self.replies[0].answer
             if answer is None:
                 break
-            reply = self.replies.popleft()
+            reply = self.replies.pop(0)
             self.clients.memory.add_buffered(-reply.buffered_bytes)
             self.write(answer)
         if self.replies and not self.write_paused and self._stream(self.replies[0]):
@@ -186,7 +185,7 @@
         """
         if self.parser.long_value_awaits_decision:
             return NO_PARTIAL_COMMAND
-        buffer_bytes = len(self.input.memory) + self.parser.kept_bytes()
+        buffer_bytes = self.input.allocated_bytes() + self.parser.kept_bytes()
         long_value_bytes = self.parser.long_value_bytes
         return (0, buffer_bytes + long_value_bytes) if long_value_bytes else (buffer_bytes, 0)
 
@@ -267,7 +266,7 @@
 
     def _end_requests(self) -> None:
         """Cancels the requests whose replies are due, since nothing further is written."""
-        replies, self.replies = self.replies, deque()
+        replies, self.replies = self.replies, []
         for reply in replies:
             self.clients.memory.add_buffered(-reply.buffered_bytes)
             if reply.answer is None:
--- a/calicofall/proxy/connection.py
+++ b/calicofall/proxy/connection.py
@@ -200,6 +200,9 @@
             self._mark_closed()
             self.on_close()
         self.on_descriptor_released()
+        # The closed connection may stay in memory until the next garbage collection.
+        self.input.drop(len(self.input))
+        self.output.clear()
 
     def eof_received(self) -> bool:
         """The peer has closed; a connection that the peer shut down for writing only is aborted, too."""
--- a/calicofall/proxy/held_input.py
+++ b/calicofall/proxy/held_input.py
@@ -7,15 +7,13 @@
 Invariants: no request has more time than its client left it.
 """
 
-from collections import deque
-
 
 class HeldInput:
     """The arrival times of input that is held up, as positions in all input of one connection."""
 
     def __init__(self) -> None:
         # Where held input ends (bytes since the connection was opened), and when it arrived (s, loop time).
-        self._arrivals: deque[tuple[int, float]] = deque()
+        self._arrivals: list[tuple[int, float]] = []
 
     def __len__(self) -> int:
         return len(self._arrivals)
@@ -28,5 +26,5 @@
     def take_wait_s(self, end_offset: int, now: float) -> float:
         """Returns how long a command that ends at an offset was held up, and forgets what came before it."""
         while self._arrivals and self._arrivals[0][0] < end_offset:
-            self._arrivals.popleft()
+            del self._arrivals[0]
         return now - self._arrivals[0][1] if self._arrivals else 0.0
