What clients and caches make a process hold is counted in one sum, as it is held

Cause: bounds that count something else than what grows. Connections were bounded by descriptors alone; a request counted as its bytes, not its objects; one command a connection was read however much was in hand; an answer that the transport still held counted as delivered; buffers for replies were reserved in full from a length that a cache told, and counted nowhere.

Connections take at most half of the memory above the base. A request counts with its objects and the copy of its value on the way, an answer until the client's kernel has taken it, a reply from its told length on. A reply without room is forwarded as it arrives, in parts that shrink with the number of such replies. Requests over the sum are refused as they are read. A value that can never fit is refused at once. Closed connections are collected as they become many, not every 5 s.

--- a/calicofall/proxy/buffers.py
+++ b/calicofall/proxy/buffers.py
@@ -29,16 +29,19 @@
     def __len__(self) -> int:
         return self.length
 
-    def free_space(self) -> memoryview:
+    def free_space(self, min_capacity: int = MIN_CAPACITY_BYTES) -> memoryview:
         """Returns the memory for the next bytes, never empty; the caller passes their number to `commit`.
 
+        Args:
+            min_capacity: The capacity of a buffer that has no memory yet.
+
         Raises:
             BufferError: The buffer is full and has its maximum size.
         """
         capacity = len(self.memory)
         if self.memory is NO_MEMORY:
-            self._allocate(MIN_CAPACITY_BYTES)
-            capacity = MIN_CAPACITY_BYTES
+            self._allocate(min_capacity)
+            capacity = min_capacity
         elif self.length == capacity:
             self._grow(capacity + 1)
             capacity = len(self.memory)
--- a/calicofall/proxy/client_connection.py
+++ b/calicofall/proxy/client_connection.py
@@ -12,7 +12,7 @@
 from calicofall.proxy import resp
 from calicofall.proxy.client_protocol import ARGUMENT_COUNTS
 from calicofall.proxy.close_cause import CloseCause
-from calicofall.proxy.command_memory import MAX_WAIT_FRACTION
+from calicofall.proxy.command_memory import MAX_WAIT_FRACTION, REQUEST_BYTES
 from calicofall.proxy.command_parser import CommandParser
 from calicofall.proxy.connection import BufferedConnection
 from calicofall.proxy.held_input import HeldInput
@@ -28,10 +28,14 @@
 
 
 def command_size(command: object) -> int:
-    """Returns the memory of a command that was received (bytes)."""
+    """Returns the memory of a command that was received, until it is answered (bytes).
+
+    The copy on the way to an endpoint takes as much again as a value that is not written by reference.
+    """
     if not isinstance(command, list):
-        return 0
-    return sum(len(part) for part in command if isinstance(part, bytes))
+        return REQUEST_BYTES
+    size = sum(len(part) for part in command if isinstance(part, bytes))
+    return REQUEST_BYTES + size + min(size, resp.STREAMING_THRESHOLD_BYTES)
 
 
 class PendingReply:
@@ -91,7 +95,7 @@
         super().__init__(clients.loop)
         self.clients = clients
         self.closing_stall_timeout_s = clients.stall_timeout_s
-        self.parser = CommandParser(self.input, commands_only=True)
+        self.parser = CommandParser(self.input, clients.memory.chunk_bytes, commands_only=True)
         self.replies: list[PendingReply] = []  # at most MAX_PIPELINED_COMMANDS
         self.reading_paused = False
         self.reading_paused_at = 0.0  # when reading was last paused (s, the loop's clock)
@@ -104,9 +108,15 @@
         self.waited_s = 0.0  # for memory, while the command that is incomplete was not read
         # Whether that command is refused, since there was no room for its value in time.
         self.lacks_memory = False
+        # Memory of answers that were written and not accepted yet, since the client reads slowly.
+        self.unaccepted_bytes = 0
         self.partial_progress_at = 0.0  # when more of it was last received (s, the loop's clock)
         self.stall_timer: asyncio.TimerHandle | None = None
 
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Returns the memory into which asyncio reads the next input."""
+        return self.input.free_space(self.clients.memory.receive_bytes())
+
     def on_data(self) -> None:
         """Processes the complete commands, as far as the replies due and the memory allow."""
         self.clients.on_first_byte(self)
@@ -143,8 +153,11 @@
             if answer is None:
                 break
             reply = self.replies.pop(0)
-            self.clients.memory.add_buffered(-reply.buffered_bytes)
+            self.clients.memory.add_buffered(len(answer) - reply.buffered_bytes)
+            self.unaccepted_bytes += len(answer)
             self.write(answer)
+            if not self.write_paused:
+                self._release_unaccepted()
         if self.replies and not self.write_paused and self._stream(self.replies[0]):
             return
         if not (self.replies or self.closed or self.closing):
@@ -163,6 +176,8 @@
             self.stall_timer.cancel()
             self.stall_timer = None
         super().resume_writing()
+        if not self.write_paused:
+            self._release_unaccepted()
         self.write_ready_replies()
 
     def check_stall(self, undelivered_before: int = -1) -> None:
@@ -262,8 +277,15 @@
                 extra={"cause": self.close_cause, "due": len(self.replies), "received": self.received_bytes},
             )
         self.clients.remove_client(self)
+        self._release_unaccepted()
         self._end_requests()
 
+    def _release_unaccepted(self) -> None:
+        """Releases the memory of answers that the transport has accepted, or will not."""
+        if self.unaccepted_bytes:
+            self.clients.memory.add_buffered(-self.unaccepted_bytes)
+            self.unaccepted_bytes = 0
+
     def _end_requests(self) -> None:
         """Cancels the requests whose replies are due, since nothing further is written."""
         replies, self.replies = self.replies, []
@@ -346,7 +368,9 @@
             self.reject_command(reply, "a command is an array of bulk strings")
             return
         name = command[0].upper()
-        if name in ARGUMENT_COUNTS:
+        if name in ARGUMENT_COUNTS and self.clients.memory.is_exhausted(reply.buffered_bytes):
+            reply.complete(resp.encode_error("BUSY"))
+        elif name in ARGUMENT_COUNTS:
             self.clients.on_request(reply, [name, *command[1:]])
         elif name == b"PING":
             self._handle_ping(reply, command)
--- a/calicofall/proxy/command_memory.py
+++ b/calicofall/proxy/command_memory.py
@@ -1,11 +1,14 @@
-"""The memory of clients' commands and of replies: room for long values, in the order of their arrival.
+"""The memory of requests and replies: room for long values, in the order of their arrival.
 
 A long value is read only once room for its whole length is set aside, so that a command that has begun to be
 read is read to its end. What finds no room waits unread; it is refused in time for its client to be answered.
+A reply of some length is received whole only if there is room for it; else it is forwarded as it arrives.
 
-Invariants: incomplete long commands, complete commands and replies together stay within twice
-`read_ahead_bytes`, and one long command beyond that; whoever waits gets room when some is released, or is
-refused by a timer.
+Counted are bytes and objects as they are held: a request with its objects, a value and its copy on the way.
+
+Invariants: incomplete long commands, requests and replies together stay within twice `read_ahead_bytes`, and
+one long command beyond that; requests with short values are refused as they are read once requests and
+replies take three times as much; whoever waits gets room when some is released, or is refused by a timer.
 """
 
 import asyncio
@@ -16,6 +19,13 @@
 from calicofall.proxy.metrics import Metrics
 
 MAX_WAIT_FRACTION = 0.5  # of the time that a request has; the rest is for its attempts
+REQUEST_BYTES = 4096  # of the objects of a request: command, attempts, timers
+SHORT_REPLY_BYTES = 2048  # a reply up to this size is received whole without asking for room
+MIN_CHUNK_BYTES = 1 << 12  # of a value that is received in parts
+MAX_CHUNK_BYTES = 1 << 16
+RECEIVE_BYTES = 1 << 12
+SMALL_RECEIVE_BYTES = 1 << 10  # where the limit is low: each connection that waits for room holds so much
+AMPLE_READ_AHEAD_BYTES = 1 << 21
 LOG_INTERVAL_S = 10.0  # between two log lines about waits
 log = logging.getLogger("calicofall")
 
@@ -56,6 +66,8 @@
         self.buffered_bytes = 0  # of complete commands and of replies
         self.short_bytes = 0  # of incomplete commands without a long value
         self.reserved_bytes = 0  # of incomplete commands with a long value: its whole length
+        self.reply_bytes = 0  # of replies that are received whole
+        self.streamed_replies = 0  # number of replies that are forwarded as they arrive
         self.waiting: dict[WaitingClient, RoomWait] = {}  # in the order of arrival
         self.longest_wait_s = 0.0  # since the last log line
         self.next_log_at = 0.0
@@ -65,10 +77,47 @@
         """Bytes of incomplete commands."""
         return self.short_bytes + self.reserved_bytes
 
+    @property
+    def max_total_bytes(self) -> int:
+        """Bytes of incomplete long commands, requests and replies together, but for one long command."""
+        return 2 * self.read_ahead_bytes
+
+    def total_bytes(self) -> int:
+        """Returns the bytes that are counted against `max_total_bytes`."""
+        return self.buffered_bytes + self.partial_command_bytes + self.reply_bytes
+
+    def chunk_bytes(self) -> int:
+        """Returns how much of a value that arrives in parts is received at once."""
+        share = self.read_ahead_bytes // (4 * (1 + self.streamed_replies + len(self.waiting)))
+        return min(MAX_CHUNK_BYTES, max(MIN_CHUNK_BYTES, share))
+
+    def receive_bytes(self) -> int:
+        """Returns the size of the buffer in which a command is received first."""
+        return RECEIVE_BYTES if self.read_ahead_bytes >= AMPLE_READ_AHEAD_BYTES else SMALL_RECEIVE_BYTES
+
+    def try_add_reply(self, size: int) -> bool:
+        """Counts a reply (bytes) that is to be received whole; returns False if there is no room for it."""
+        if size > SHORT_REPLY_BYTES and self.total_bytes() + size > self.max_total_bytes:
+            return False
+        self.reply_bytes += size
+        return True
+
+    def remove_reply(self, size: int) -> None:
+        """Releases the bytes of a reply that has been received, or will not be."""
+        self.reply_bytes -= size
+        self._grant()
+
     def has_read_ahead(self) -> bool:
         """Whether clients' next commands may be read before the replies to the former ones are written."""
         return self.buffered_bytes < self.read_ahead_bytes
 
+    def is_exhausted(self, own_bytes: int) -> bool:
+        """Whether a request that takes some bytes, which are counted already, has to be refused."""
+        if self.buffered_bytes - own_bytes + self.reply_bytes < self.max_total_bytes + self.read_ahead_bytes:
+            return False
+        self.metrics.memory_refusals += 1
+        return True
+
     def set_read_ahead(self, read_ahead_bytes: int) -> None:
         """Changes the limits; what is in use already stays."""
         self.read_ahead_bytes = read_ahead_bytes
@@ -91,6 +140,8 @@
         """Returns whether a long value may be read now; else its client waits, until a maximum time."""
         if not self.waiting and self._fits(size):
             return True
+        if size > self.max_total_bytes:
+            max_wait_s = 0.0  # it never fits
         timer = self.loop.call_later(max_wait_s, self._refuse, client)
         self.waiting[client] = RoomWait(size, self.loop.time(), timer)
         self.metrics.memory_waits += 1
@@ -110,12 +161,12 @@
 
     def _fits(self, size: int) -> bool:
         """Whether a long value fits; one fits if none is being read and little else is in use."""
-        if not self.reserved_bytes and self.has_read_ahead():
+        if size > self.max_total_bytes:
+            return False
+        if not self.reserved_bytes and self.has_read_ahead() and self.reply_bytes < self.read_ahead_bytes:
             return True
-        total = self.buffered_bytes + self.short_bytes + self.reserved_bytes
-        return (
-            self.reserved_bytes + size <= self.read_ahead_bytes and total + size <= 2 * self.read_ahead_bytes
-        )
+        fits_reserved = self.reserved_bytes + size <= self.read_ahead_bytes
+        return fits_reserved and self.total_bytes() + size <= self.max_total_bytes
 
     def _grant(self) -> None:
         while self.waiting:
--- a/calicofall/proxy/command_parser.py
+++ b/calicofall/proxy/command_parser.py
@@ -5,6 +5,7 @@
 before it is accepted or discarded, and keeps MAX_COMMAND_PARTS + 1 parts of MAX_FIELD_BYTES besides it.
 """
 
+from collections.abc import Callable
 from dataclasses import dataclass
 from enum import Enum
 from io import BytesIO
@@ -62,18 +63,24 @@
 class CommandParser:
     """Reads one value after the other and keeps the received part of a value until it is complete."""
 
-    def __init__(self, ring: RingBuffer, commands_only: bool = False) -> None:
+    def __init__(
+        self,
+        ring: RingBuffer,
+        chunk_bytes: Callable[[], int] = lambda: STREAMING_THRESHOLD_BYTES,
+        commands_only: bool = False,
+    ) -> None:
         """Creates a parser.
 
         Args:
             ring: The input.
+            chunk_bytes: Returns how much of a long value is received at once.
             commands_only: Whether only commands are valid, arrays of short bulk strings and a value, and a
                 long value waits until it is accepted or discarded.
         """
         self.ring = ring
         self.commands_only = commands_only
         self.long_value_threshold = SHORT_VALUE_BYTES if commands_only else STREAMING_THRESHOLD_BYTES
-        self.read_size = STREAMING_THRESHOLD_BYTES  # how much of a long value is received at once
+        self.chunk_bytes = chunk_bytes
         self.incomplete_arrays: list[IncompleteArray] = []  # the outermost first
         self.bulk_length = -1  # of the bulk string that is being received; -1 outside a bulk string
         # Received part of a long bulk string; returns it without another copy.
@@ -258,7 +265,7 @@
                 self.long_value.write(chunk)
             self.bulk_bytes_read += len(chunk)
             left -= len(chunk)
-        self.ring.reserve(min(self.read_size, left + 2))
+        self.ring.reserve(min(self.chunk_bytes(), left + 2))
         return left == 0
 
     def _read_short_command(self) -> list[bytes] | None:
--- a/calicofall/proxy/metrics.py
+++ b/calicofall/proxy/metrics.py
@@ -38,6 +38,10 @@
         """Counts the end of a connection to an endpoint."""
         self.upstream_closes[cause if cause in self.upstream_closes else CloseCause.OTHER] += 1
 
+    def total_closes(self) -> int:
+        """Returns how many connections have ended."""
+        return sum(self.client_closes.values()) + sum(self.upstream_closes.values())
+
     def count_answer(self, answer: str, method: str) -> None:
         """Counts the final answer of one request."""
         counts = self.answer_counts[answer]
--- a/calicofall/proxy/process_limits.py
+++ b/calicofall/proxy/process_limits.py
@@ -10,11 +10,13 @@
 RESERVED_DESCRIPTORS = 32
 MIN_CONNECTIONS = 8
 UPSTREAM_SHARE = 0.4  # of the connections, that may go to endpoints
-BASE_MEMORY_MB = 24  # memory of a proxy process that has no requests
-# Commands and replies are counted up to a quarter of the memory (megabytes shifted by 18 bits are a quarter
-# in bytes), since a command in flight, its copy on the way to an endpoint and its answer each take about as
-# much again.
-QUARTER_OF_MB_SHIFT = 18
+BASE_MEMORY_MB = 24  # memory of a proxy process that has no connections
+CONNECTION_BYTES = 6144  # memory of a connection that is idle, or that waits with an incomplete command
+MAX_CONNECTIONS_FRACTION = 0.5  # of the memory above the base, for connections
+# Requests and replies together may use three times the read-ahead, incomplete short commands as much as that
+# once, and one part is kept for what is not counted.
+MEMORY_PARTS = 5
+MIN_READ_AHEAD_BYTES = 1 << 18
 
 
 MEBIBYTE = 1 << 20
@@ -42,8 +44,15 @@
 
 def divide_limits(node: dict[str, Any], process_count: int) -> ProcessLimits:
     """Returns the limits of one of `process_count` processes that share the limits of a node file."""
-    max_connections = max(MIN_CONNECTIONS, descriptor_limit(node) // process_count - RESERVED_DESCRIPTORS)
-    buffer_mb = max(1, memory_limit_mb(node) // process_count - BASE_MEMORY_MB)
+    spare_bytes = max(0, process_memory_bytes(node, process_count) - BASE_MEMORY_MB * MEBIBYTE)
+    max_connections = min(
+        descriptor_limit(node) // process_count - RESERVED_DESCRIPTORS,
+        int(spare_bytes * MAX_CONNECTIONS_FRACTION) // CONNECTION_BYTES,
+    )
+    max_connections = max(MIN_CONNECTIONS, max_connections)
+    read_ahead_bytes = (spare_bytes - max_connections * CONNECTION_BYTES) // MEMORY_PARTS
     return ProcessLimits(
-        max_connections, int(max_connections * UPSTREAM_SHARE), buffer_mb << QUARTER_OF_MB_SHIFT
+        max_connections,
+        int(max_connections * UPSTREAM_SHARE),
+        max(MIN_READ_AHEAD_BYTES, read_ahead_bytes),
     )
--- a/calicofall/proxy/reply_parser.py
+++ b/calicofall/proxy/reply_parser.py
@@ -1,15 +1,18 @@
 """Parser of endpoints' replies, which reads from a ring buffer.
 
 A reply is an error, or an array of a value, a cache status (how the endpoint got the value, or null) and a
-load report (or null). A value longer than STREAMING_THRESHOLD_BYTES is returned as it arrives, except its
-last WITHHELD_TAIL_BYTES bytes, which are returned as the reply's value once the rest of the reply is valid.
+load report (or null). A value longer than STREAMING_THRESHOLD_BYTES, or one for which there is no room, is
+returned as it arrives, except its last WITHHELD_TAIL_BYTES bytes, which are returned as the reply's value
+once the rest of the reply is valid.
 
-Invariants: those of `command_parser.py`.
+Invariants: those of `command_parser.py`; the room of a reply is released when it has been returned, or by
+`release`.
 """
 
 import re
 
 from calicofall.proxy.buffers import RingBuffer
+from calicofall.proxy.command_memory import CommandMemory
 from calicofall.proxy.resp import (
     INCOMPLETE,
     MAX_VALUE_BYTES,
@@ -40,8 +43,11 @@
 class ReplyParser:
     """Reads one reply after the other and keeps the received part of a reply until it is complete."""
 
-    def __init__(self, ring: RingBuffer) -> None:
+    def __init__(self, ring: RingBuffer, memory: CommandMemory) -> None:
         self.ring = ring
+        self.memory = memory
+        self.reserved_bytes = 0  # for the reply that is being received
+        self.streams_value = False  # whether its value is returned as it arrives
         self.array: list[bytes | None] | None = None  # members received so far; None before a reply's head
         self.bulk_size = -1  # of the bulk string that is being received; -1 outside a bulk string
         self.stream_bytes_left = 0  # of a long value, still to be returned by `take_streamed_bytes`
@@ -72,15 +78,25 @@
                 return progress
             if len(self.array) == REPLY_MEMBERS:
                 value, self.array = self.array, None
+                self.release()
                 return value
 
     def take_streamed_bytes(self) -> bytes:
         """Removes and returns the received bytes of a long value, except the bytes to be withheld."""
         data = self.ring.take(min(self.stream_bytes_left, len(self.ring)))
         self.stream_bytes_left -= len(data)
-        self.ring.reserve(min(STREAMING_THRESHOLD_BYTES, self.stream_bytes_left + WITHHELD_TAIL_BYTES))
+        self.ring.reserve(min(self.memory.chunk_bytes(), self.stream_bytes_left + WITHHELD_TAIL_BYTES))
         return data
 
+    def release(self) -> None:
+        """Releases the room of the reply that is being received: it has been returned, or will not be."""
+        if self.reserved_bytes:
+            self.memory.remove_reply(self.reserved_bytes)
+            self.reserved_bytes = 0
+        if self.streams_value:
+            self.memory.streamed_replies -= 1
+            self.streams_value = False
+
     def has_partial_message(self) -> bool:
         """Whether a reply has been received in part."""
         return self.array is not None or len(self.ring) > 0
@@ -119,7 +135,7 @@
 
     def _read_member(self, array: list[bytes | None]) -> Incomplete | None:
         """Reads the next part of a member; returns None if it made progress, else why reading stops."""
-        if self.bulk_size > STREAMING_THRESHOLD_BYTES and not array:
+        if self.streams_value and not array and self.bulk_size > WITHHELD_TAIL_BYTES:
             return self._start_stream()
         if self.bulk_size >= 0:
             return self._read_bulk(array)
@@ -131,14 +147,23 @@
             raise ProtocolError(
                 f"bulk string of {self.bulk_size} bytes exceeds the maximum of {MAX_VALUE_BYTES} bytes"
             )
-        if self.bulk_size >= 0:
-            self.ring.reserve(min(STREAMING_THRESHOLD_BYTES, self.bulk_size) + 2)
-        elif not array:
+        if self.bulk_size < 0 and not array:
             raise ProtocolError("reply has null as its value")
-        else:
+        if self.bulk_size < 0:
             array.append(None)
+        elif not array:
+            self._reserve(self.bulk_size)
         return None
 
+    def _reserve(self, size: int) -> None:
+        """Decides whether a value is received whole, by the room that there is."""
+        # Twice: the copy on the way to the client.
+        if size <= STREAMING_THRESHOLD_BYTES and self.memory.try_add_reply(2 * size):
+            self.reserved_bytes = 2 * size
+        elif size > WITHHELD_TAIL_BYTES:
+            self.streams_value = True
+            self.memory.streamed_replies += 1
+
     def _start_stream(self) -> Incomplete:
         if not len(self.ring):
             return INCOMPLETE  # until a byte of the value arrives, another endpoint can still answer
--- a/calicofall/proxy/server.py
+++ b/calicofall/proxy/server.py
@@ -71,6 +71,9 @@
 TICK_DELAY_S = 0.003  # delay of a tick, so that events close together share one
 UPKEEP_INTERVAL_S = 0.25
 FULL_COLLECTION_ROUNDS = 20  # upkeep rounds between two garbage collections of all generations
+# Connections closed since the last collection of all generations, after which there is another one: each
+# leaves some kilobytes of reference cycles.
+FULL_COLLECTION_CLOSES = 64
 # Time after SIGTERM in which new connections are still accepted: the load balancer in front may still choose
 # this proxy.
 ACCEPT_AFTER_SIGTERM_S = 0.5
@@ -126,7 +129,8 @@
         # Identifies this incarnation, so that answers to a previous incarnation's messages can be ignored.
         has_peers = "gossip_address" in self.startup_settings
         self.incarnation = self.random_generator.getrandbits(48) if has_peers else 0
-        self.upkeep_rounds = 0
+        # `collected_closes`: closes of connections until the last garbage collection of all generations.
+        self.upkeep_rounds = self.collected_closes = 0
         self.logged_ejections: list[str] = []  # ejected endpoints, as last logged
         self.tick_timer: asyncio.Handle | None = None
         self.tick_due_at = float("inf")
@@ -232,6 +236,7 @@
     def _make_connections(self, caps: dict[str, Any]) -> None:
         """Creates the connections to endpoints and to clients, which share one budget of descriptors."""
         limits = divide_limits(self.node, 1)
+        memory = CommandMemory(self.loop, limits.read_ahead_bytes, self.metrics)
         self.upstreams = Upstreams(
             self.loop,
             caps,
@@ -246,6 +251,7 @@
             self.metrics,
             self.connection_quotas,
             self.now_ms() / 1000.0 - self.loop.time(),
+            memory,
         )
         self.upstreams.may_send = self.requests.may_send
         self.upstreams.arrives_by = self.requests.arrives_by
@@ -253,7 +259,7 @@
         self.clients = ClientConnections(
             self.loop,
             limits.max_connections,
-            CommandMemory(self.loop, limits.read_ahead_bytes, self.metrics),
+            memory,
             self.longest_deadline_s(),
             self.requests.on_request,
             self.requests.find_time_left_s,
@@ -585,8 +591,6 @@
         self.process_memory.check()
         self.upstreams.close_expired_idle()
         self.clients.close_overdue()
-        # asyncio's transports are reference cycles, which would stay in the older generations if only the
-        # youngest were collected.
         self.upkeep_rounds += 1
         if (
             self.requests.logs_requests
@@ -594,7 +598,20 @@
         ):
             self.logged_ejections = ejected
             log.debug("aside", extra={"caches": ",".join(ejected) or None})
-        gc.collect(0 if self.upkeep_rounds % FULL_COLLECTION_ROUNDS else 2)
+        self.collect_garbage()
+
+    def collect_garbage(self) -> None:
+        """Collects the youngest generation, or all after some rounds or many closed connections.
+
+        asyncio's transports are reference cycles, which would stay in the older generations.
+        """
+        closes = self.metrics.total_closes()
+        is_full = not self.upkeep_rounds % FULL_COLLECTION_ROUNDS
+        if is_full or closes - self.collected_closes >= FULL_COLLECTION_CLOSES:
+            self.collected_closes = closes
+            gc.collect(2)
+        else:
+            gc.collect(0)
 
     # Startup, signals and errors
 
@@ -737,6 +754,8 @@
             "calls": len(self.active_requests),
             "buffered": memory.buffered_bytes,
             "incomplete": memory.partial_command_bytes,
+            "replies": memory.reply_bytes,
+            "streams": memory.streamed_replies,
             "waiting": len(memory.waiting),
         }
 
--- a/calicofall/proxy/upstream.py
+++ b/calicofall/proxy/upstream.py
@@ -15,6 +15,7 @@
 from calicofall.config.endpoint_list import format_endpoint_list
 from calicofall.fleet.in_flight_quota import InFlightQuota
 from calicofall.proxy.close_cause import CloseCause
+from calicofall.proxy.command_memory import CommandMemory
 from calicofall.proxy.connection import BufferedConnection
 from calicofall.proxy.connection_pool import ConnectionPool
 from calicofall.proxy.metrics import Metrics
@@ -50,6 +51,7 @@
         metrics: Counts the commands that have been sent.
         connection_quotas: This proxy's share of the endpoints' limits for handshakes and connections.
         common_clock_offset_s: Offset of the clock that all proxies share from the loop's clock (s).
+        memory: The memory of requests and replies.
     """
 
     def __init__(  # noqa: PLR0913 - parts of the proxy, passed once
@@ -67,6 +69,7 @@
         metrics: Metrics,
         connection_quotas: ConnectionQuotas,
         common_clock_offset_s: float,
+        memory: CommandMemory,
     ) -> None:
         self.loop = loop
         self.max_connections = max(1, max_connections)
@@ -78,6 +81,7 @@
         self.metrics = metrics
         self.connection_quotas = connection_quotas
         self.common_clock_offset_s = common_clock_offset_s
+        self.memory = memory
         self.max_waiting_per_connection = max(1, int(caps.get("streams_per_conn") or 1))
         self.connect_timeout_s = (caps.get("dial_timeout") or DEFAULT_CONNECT_TIMEOUT_MS) / 1000.0
         self.idle_timeout_s = (
--- a/calicofall/proxy/upstream_connection.py
+++ b/calicofall/proxy/upstream_connection.py
@@ -44,7 +44,7 @@
         super().__init__(pool.upstreams.loop)
         self.pool = pool
         self.address = address
-        self.parser = ReplyParser(self.input)
+        self.parser = ReplyParser(self.input, pool.upstreams.memory)
         self.command: UpstreamCommand | None = None
         # Whether the input was malformed. The outcome of a command that was sent is then "spoilt".
         self.malformed = False
@@ -153,6 +153,7 @@
         self.reading_paused = paused
         if paused:
             self.transport.pause_reading()
+            self.input.compact()
         else:
             self.transport.resume_reading()
 
@@ -282,6 +283,7 @@
         """The connection is closed: its command has failed."""
         command, self.command = self.command, None
         self._end_delivery()
+        self.parser.release()
         if self.stall_timer is not None:
             self.stall_timer.cancel()
         self.pool.upstreams.metrics.count_upstream_close(self.close_cause)
