A client's close is looked for before each attempt, also behind unread input

Cause: a transport tells the end of its input only once all of it is read; ClientConnection.detect_disconnect asked the kernel only while reading was paused, which it is not while answers come and further commands are read.

--- a/calicofall/proxy/client_connection.py
+++ b/calicofall/proxy/client_connection.py
@@ -252,11 +252,11 @@
         self._end_requests()
 
     def detect_disconnect(self) -> bool:
-        """Whether the connection is closed; detects a client's close also while reading is paused.
+        """Whether the connection is closed; detects a client's close also behind input that is unread.
 
-        A transport whose reading is paused does not report the end of its input.
+        A transport reports the end of its input only once all of it has been read.
         """
-        if self.reading_paused and not self.closed and self.peer_has_closed():
+        if not (self.closed or self.closing) and self.peer_has_closed():
             self.abort(CloseCause.PEER_CLOSED)
         return self.closed
 
