The id of a request that may have run is not run again once its client has left

Cause: the proxy refuses an id while its request is in hand, and forgot it as soon as its client closed, though the attempt may have run or may be running, at the latest where caches can't cancel.

Ids of requests with an effect, whose clients left while an attempt may have run, are kept for 60 s, 2,048 at most, and answered -ERR. Idempotent requests may come again, and those of which nothing was sent. tests/test_departed_clients.py failed in four forms before. Not covered: the other process of an upgrade, which shares nothing with this one (docs/ROADMAP.md).

--- a/calicofall/proxy/request_lifecycle.py
+++ b/calicofall/proxy/request_lifecycle.py
@@ -26,6 +26,7 @@
     parse_request_fields,
     parse_time_left_ms,
 )
+from calicofall.proxy.departed_requests import DepartedRequests
 from calicofall.proxy.upstream_command import UpstreamCommand
 from calicofall.routing.request import Request
 
@@ -59,6 +60,7 @@
         self.active_requests: dict[str, ActiveRequest] = {}
         self.latency_histograms: dict[str, HdrHistogram] = {}
         self.active_client_ids: set[bytes] = set()
+        self.departed = DepartedRequests()
         self._request_ids = count()
         # Whether each request is logged, for testbed/loss_breakdown.py.
         self.logs_requests = log.isEnabledFor(logging.DEBUG)
@@ -127,6 +129,8 @@
         elif command is not None:
             # The endpoint may not have got all of it, and nothing further is sent for a client that has left.
             self.proxy.loop.call_later(UNDELIVERED_GRACE_S, self.proxy.upstreams.cancel_undelivered, command)
+        if active_request.request.first_possibly_run() and self.router.has_effect(active_request.request):
+            self.departed.add(active_request.parts[2], self.proxy.loop.time())
         self.proxy.schedule_tick()
 
     # Decisions
@@ -325,6 +329,8 @@
         fields = parse_request_fields(parts, self.methods, self.tenants)
         if parts[2] in self.active_client_ids:  # an endpoint would take it for the request in flight
             raise InvalidRequestError("the id of an RPC in hand")
+        if self.departed.may_have_run(parts[2], self.proxy.loop.time()):
+            raise InvalidRequestError("the id of a request that may have run")
         return fields
 
     def _update_settings_and_quotas(self, fields: RequestFields) -> None:
--- a/calicofall/routing/router.py
+++ b/calicofall/routing/router.py
@@ -24,6 +24,7 @@
     Attempt,
     AttemptOutcome,
     Request,
+    RetrySafety,
 )
 from calicofall.routing.retry_policy import repeat_ends_at
 from calicofall.routing.settings import RawMethod
@@ -324,6 +325,11 @@
             return False
         return now < self.repeat_ends_at(request, attempt_index)
 
+    def has_effect(self, request: Request) -> bool:
+        """Returns whether a request may take effect twice if it runs twice."""
+        method = self.policy.settings.by_method[request.method]
+        return method.retry_safety != RetrySafety.IDEMPOTENT
+
     def incomplete_reply_due_at(self, request: Request) -> float:
         """Returns until when an incomplete reply to a request is awaited (ms)."""
         return self.policy.timeouts.incomplete_reply_due_at(request)
--- a/tests/test_departed_clients.py
+++ b/tests/test_departed_clients.py
@@ -1,13 +1,14 @@
-"""Nothing begins for a client that has left: real sockets on loopback."""
+"""Nothing begins for a client that has left, and its id is not run again: real sockets on loopback."""
 
 import socket
 import struct
 from collections.abc import Iterator
 
 import pytest
-from helpers import encode_reply, encode_request
+from helpers import ProxyHarness, encode_reply, encode_request
 from test_endings import SocketHarness, close_client
 
+from calicofall.proxy import resp
 from calicofall.proxy.client_connection import MAX_PIPELINED_COMMANDS
 from calicofall.proxy.upstream_connection import REPLY_SETTLE_S
 
@@ -97,3 +98,48 @@
         assert harness.has_sent(1)
     finally:
         harness.close()
+
+
+# Its id
+
+
+def send_id(harness: ProxyHarness, method: str, request_id: bytes) -> object:
+    client = harness.client()
+    parts = encode_request(method).split(b"\r\n")
+    parts[6] = request_id
+    client.feed(b"\r\n".join(parts))
+    return client
+
+
+@pytest.mark.parametrize(("method", "may_come_again"), [("order", False), ("save", False), ("read", True)])
+@pytest.mark.parametrize("can_cancel", [True, False])
+def test_id_of_a_client_that_has_left_is_not_run_again(
+    method: str, may_come_again: bool, can_cancel: bool
+) -> None:
+    harness = ProxyHarness(caps={"mostTransmissions": 4, "cancel": can_cancel, "streamsPerConn": 8})
+    first = send_id(harness, method, b"00000000000000ab")
+    harness.connect_upstream()
+    assert harness.proxy.metrics.attempts_sent == 1
+    first.abort()
+    second = send_id(harness, method, b"00000000000000ab")
+    for stream, _ in harness.loop.connect_requests[1:]:
+        assert stream.closed or may_come_again
+    assert second.sent.startswith(b"-ERR") != may_come_again
+
+
+def test_id_of_a_client_that_left_before_anything_was_sent_may_come_again() -> None:
+    harness = ProxyHarness()
+    send_id(harness, "order", b"00000000000000ab").abort()
+    second = send_id(harness, "order", b"00000000000000ab")
+    harness.connect_upstream().feed(encode_reply(b"done"))
+    assert second.sent == resp.encode_bulk(b"done")
+
+
+def test_ids_of_clients_that_have_left_take_bounded_memory() -> None:
+    harness = ProxyHarness().with_high_limits()
+    for number in range(5000):
+        departed = harness.proxy.requests.departed
+        departed.add(b"%016x" % number, harness.loop.time())
+    assert len(departed) <= 2048
+    assert departed.may_have_run(b"%016x" % 4999, harness.loop.time())
+    assert not departed.may_have_run(b"%016x" % 4999, harness.loop.time() + 3600.0)
