A new process at an old address, or under an old name, is not taken for the former one

Cause: an address and a name stood for a process.

- While a list still named an endpoint whose address a later one had (its removal not told yet, or told again), requests for the former were sent to the new process, past its slow start.
Of two endpoints at one address the one that started later has it; the other is gone until the list says more.
- Idle connections to the former process of a name were used after its restart was told: one that vanished without a reset loses the command.
Those opened before the start are closed, those in use end behind their reply.
- Keys that the former process held counted as cached for up to 20 s.

--- a/calicofall/proxy/connection_pool.py
+++ b/calicofall/proxy/connection_pool.py
@@ -38,6 +38,9 @@
         # Set while commands wait for an idle connection to settle.
         self.settle_timer: asyncio.TimerHandle | None = None
         self.send_scheduled = False  # whether `_send_scheduled` runs in the next iteration of the loop
+        # When the endpoint's process started (s, the loop's clock). A connection that is older than that was
+        # opened to a former process, which may have vanished without a reset.
+        self.process_started_at = -inf
         self.accepts_requests = True  # whether the endpoint is neither draining nor gone
         # Rotates the order of the proxies' handshakes, so that a proxy's handshakes with different endpoints
         # are not all at the same time.
@@ -175,6 +178,14 @@
                 connection.abort(CloseCause.ENDPOINT_LEFT)
         self.fail_waiting("unconnected")
 
+    def set_process_start(self, started_at: float) -> None:
+        """Sets when the endpoint's process started; idle connections to a former process are closed."""
+        if started_at <= self.process_started_at:
+            return
+        self.process_started_at = started_at
+        for connection in [c for c in self.connections if c.is_idle and c.opened_at < started_at]:
+            connection.abort(CloseCause.ENDPOINT_LEFT)
+
     def close_idle(self, idle_before: float = inf) -> None:
         """Closes the connections that have been idle since before a time (s, the loop's clock)."""
         for connection in [c for c in self.connections if c.is_idle and c.idle_since < idle_before]:
--- a/calicofall/proxy/server.py
+++ b/calicofall/proxy/server.py
@@ -487,6 +487,7 @@
         self, kind: str, index: int | None, entries: list[tuple[Any, ...]], addresses: dict[str, str]
     ) -> None:
         """Passes a list to the router, the upstream connections and the list digests sent to peers."""
+        entries = self.upstreams.address_owners.resolve(kind == "delta", entries, addresses)
         # The router comes first, so that requests withdrawn from a removed endpoint are sent elsewhere.
         self.router.on_endpoint_list(self.now_ms(), kind, index, entries)
         self.upstreams.on_endpoint_list(kind, entries, addresses)
--- a/calicofall/proxy/upstream.py
+++ b/calicofall/proxy/upstream.py
@@ -14,6 +14,7 @@
 from calicofall.config.addresses import parse_address
 from calicofall.config.endpoint_list import format_endpoint_list
 from calicofall.fleet.in_flight_quota import InFlightQuota
+from calicofall.proxy.address_owners import AddressOwners
 from calicofall.proxy.close_cause import CloseCause
 from calicofall.proxy.command_memory import CommandMemory
 from calicofall.proxy.connection import BufferedConnection
@@ -99,6 +100,7 @@
         self.reply_distinctness = ReplyDistinctness()
         self.pools: dict[str, ConnectionPool] = {}
         self.max_connections_per_endpoint = self.max_connections
+        self.address_owners = AddressOwners()
         self.entries: dict[str, tuple[Any, ...]] = {}  # of the list, as received
         self.endpoint_names: set[str] = set()  # in the list, ready or draining
         self.malformed_count = 0  # malformed replies since the last log line about them
@@ -346,6 +348,7 @@
         pool = self.pools.get(name)
         if pool is None:
             pool = self.pools[name] = ConnectionPool(self, name)
+        pool.set_process_start(entry[6] / 1000.0 - self.common_clock_offset_s)
         pool.accepts_requests = state == "ready"
         if state == "gone":
             self.endpoint_names.discard(name)
--- a/calicofall/proxy/upstream_connection.py
+++ b/calicofall/proxy/upstream_connection.py
@@ -53,6 +53,7 @@
         self.poller: poll | None = None
         self.opens_at = 0.0  # its handshake slot, until the connection is opened (s, the loop's clock)
         self.is_open = False
+        self.opened_at = 0.0  # (s, the loop's clock)
         self.idle_since = 0.0  # (s, the loop's clock)
         self.settled_at = 0.0  # until when a second copy of the last reply may arrive (s, the loop's clock)
         # Of the last reply; None if that was an error or a long value.
@@ -79,6 +80,7 @@
     def on_open(self) -> None:
         """Writes the command that waited until the connection was open."""
         self.is_open = True
+        self.opened_at = self.loop.time()
         raw_socket = self.transport.get_extra_info("socket")
         if raw_socket is not None:
             self.poller = poll()
@@ -247,7 +249,8 @@
 
     def become_idle(self) -> None:
         """Keeps the connection for the next command, unless its endpoint accepts none or has moved."""
-        if self.pool.accepts_requests and self.address == self.pool.address:
+        is_current = self.address == self.pool.address and self.opened_at >= self.pool.process_started_at
+        if self.pool.accepts_requests and is_current:
             self.idle_since = self.loop.time()
             self.pool.send_waiting_soon()
         else:
--- a/calicofall/routing/cached_keys.py
+++ b/calicofall/routing/cached_keys.py
@@ -44,6 +44,12 @@
         for generation in self.holders:
             generation.difference_update(invalidated)
 
+    def forget_endpoint(self, endpoint: str) -> None:
+        """Notes that the endpoint holds nothing: its process has been replaced."""
+        self.holders = [
+            {holder for holder in generation if holder[1] != endpoint} for generation in self.holders
+        ]
+
     def rotate_if_due(self, now: float) -> bool:
         """Drops the older generation if a span has ended; returns whether it did."""
         if now < self.rotate_at:
--- a/calicofall/routing/endpoint_table.py
+++ b/calicofall/routing/endpoint_table.py
@@ -32,6 +32,13 @@
         """Returns the caches that are listed as ready, in the order of the table."""
         return [endpoint for endpoint in self.caches.values() if endpoint.ready]
 
+    def restarted(self, entries: Iterable[ListEntry]) -> list[str]:
+        """Returns the known caches that a list says have started since it last named them."""
+        starts = [(entry[0], entry[6]) for entry in entries]
+        return [
+            name for name, start in starts if name in self.caches and start > self.caches[name].listed_start
+        ]
+
     def apply_list(self, now: float, partial: bool, entries: Iterable[ListEntry]) -> None:
         """Applies a full or partial list; endpoints that a full list does not name are gone."""
         former = [*self.caches.values(), *self.origins.values()]
--- a/calicofall/routing/policy.py
+++ b/calicofall/routing/policy.py
@@ -380,6 +380,9 @@
             return
         self.polling.on_list(kind == "cached")
         is_first = not self.endpoints.caches
+        entries = list(entries)
+        for name in self.endpoints.restarted(entries):
+            self.cached_keys.forget_endpoint(name)
         self.endpoints.apply_list(now, kind == "delta", entries)
         self._refresh_weights(now)
         endpoint_count = len(self.placement.usable)
