What the router remembers by key is bounded by the process's memory

Cause: request counts, keys held by caches and rankings were bounded by time alone, 10 to 60 s, at whatever rate keys come.

Each table has a maximum of keys, which the process's memory sets (a fifth of what it has above its base); a further key is not noted until the next generation begins. Cached rankings are 4,096 at most, groups of failing requests 1,024. Decisions change only beyond these numbers; the cap is part of the recorded settings.

--- a/calicofall/proxy/server.py
+++ b/calicofall/proxy/server.py
@@ -209,7 +209,7 @@
         """Creates the router, and the recorder if decisions are recorded."""
         # `bears`, a setting that the proxy adds: its share of the requests per ms that a warm endpoint of
         # weight 1 serves.
-        deployment = deployment | {"bears": self.connection_quotas.capacity_share_per_ms}
+        deployment = self._with_max_keys(deployment) | {"bears": self.connection_quotas.capacity_share_per_ms}
         has_origin_slots = "origin_fetches_per_s" in self.startup_settings
         record_settings = segment_writer.parse_record_settings(self.node)
         if record_settings:
@@ -233,6 +233,10 @@
             )
         return router
 
+    def _with_max_keys(self, deployment: dict[str, Any]) -> dict[str, Any]:
+        """Returns a deployment's settings with the cap that this process's memory sets to tables by key."""
+        return deployment | {"caps": deployment["caps"] | {"max_keys": divide_limits(self.node, 1).max_keys}}
+
     def _make_connections(self, caps: dict[str, Any]) -> None:
         """Creates the connections to endpoints and to clients, which share one budget of descriptors."""
         limits = divide_limits(self.node, 1)
@@ -508,7 +512,7 @@
         self.methods = {method["name"]: method for method in deployment["methods"]}
         self.tenants = {tenant["name"] for tenant in deployment.get("tenants") or []}
         self.requests.set_methods(self.methods, self.tenants)
-        self.router.apply_settings(self.now_ms(), deployment)
+        self.router.apply_settings(self.now_ms(), self._with_max_keys(deployment))
         self.apply_pins(settings, deployment)
         self.schedule_tick()
 
--- a/calicofall/routing/attempt_observer.py
+++ b/calicofall/routing/attempt_observer.py
@@ -192,7 +192,7 @@
         if request.write:
             self._cached_keys.invalidate(request.key, self._placement.possible_holders(request.key))
         elif request.key is not None:
-            self._cached_keys.add(endpoint.name, request.key)
+            self._cached_keys.add(endpoint.name, request.key, self._settings.max_keys)
 
     def _on_failed(self, now: float, result: AttemptResult) -> None:
         """Applies an error or a time-out."""
--- a/calicofall/routing/cached_keys.py
+++ b/calicofall/routing/cached_keys.py
@@ -1,6 +1,7 @@
 """Measurements of keys: which endpoints hold them, how often they are requested, how likely a fetch is.
 
-Invariants: memory is bounded by the keys of two spans of time, as the older generation is dropped as a whole.
+Invariants: memory is bounded by the keys of two spans of time, as the older generation is dropped as a whole,
+and by a maximum number of keys in each generation: further keys are not noted until the next one begins.
 """
 
 from collections.abc import Iterable
@@ -12,6 +13,7 @@
 FETCH_SPAN_MS = 60_000.0  # fetches are counted over this time
 UNKNOWN_FETCH_LIKELIHOOD = 0.5  # used until enough answers were measured
 MIN_SAMPLES = 8
+DEFAULT_MAX_KEYS = 1 << 16
 
 
 class RecentlyCachedKeys:
@@ -29,9 +31,10 @@
         newer, older = self.holders
         return holder in newer or holder in older
 
-    def add(self, endpoint: str, key: int | None) -> None:
-        """Notes that the endpoint holds the key."""
-        self.holders[0].add((key, endpoint))
+    def add(self, endpoint: str, key: int | None, max_keys: int = DEFAULT_MAX_KEYS) -> None:
+        """Notes that the endpoint holds the key, unless `max_keys` are noted."""
+        if len(self.holders[0]) < max_keys:
+            self.holders[0].add((key, endpoint))
 
     def discard(self, endpoint: str, key: int | None) -> None:
         """Notes that the endpoint does not hold the key."""
@@ -67,10 +70,11 @@
         self.counts: list[dict[int, int]] = [{}, {}]  # two generations: newer, older
         self.rotate_at = now + COUNT_SPAN_MS
 
-    def add(self, key: int) -> None:
-        """Counts a request for the key."""
+    def add(self, key: int, max_keys: int = DEFAULT_MAX_KEYS) -> None:
+        """Counts a request for the key, unless it is a further one than `max_keys`."""
         newer = self.counts[0]
-        newer[key] = newer.get(key, 0) + 1
+        if key in newer or len(newer) < max_keys:
+            newer[key] = newer.get(key, 0) + 1
 
     def count(self, key: int | None) -> int:
         """Returns the number of requests for the key over one to two spans."""
--- a/calicofall/routing/origin_protection.py
+++ b/calicofall/routing/origin_protection.py
@@ -81,4 +81,4 @@
             return
         for attempt in request.attempts[:LEARNING_ATTEMPTS]:
             if attempt.outcome == AttemptOutcome.MISSED:  # the answer is stored in that cache
-                self._cached_keys.add(attempt.endpoint, request.key)
+                self._cached_keys.add(attempt.endpoint, request.key, self._settings.max_keys)
--- a/calicofall/routing/placement.py
+++ b/calicofall/routing/placement.py
@@ -18,6 +18,8 @@
 MIN_REMAINING_WEIGHT_FRACTION = 0.1
 MIN_REQUESTS = 16  # with fewer recent requests, the share of constrained methods is not used
 
+MAX_RANKINGS = 1 << 12  # that are cached
+
 Candidate = tuple[int, float, Endpoint]  # (salt, -weight, endpoint)
 
 
@@ -53,6 +55,8 @@
                 for number, (salt, weight, _) in enumerate(candidates)
             ]
             ranking = [candidates[number][2] for _, number in nsmallest(REPLICAS, scores)]
+            if len(self.rankings) >= MAX_RANKINGS:
+                self.rankings.clear()
             self.rankings[key, constraint] = ranking
         return ranking
 
--- a/calicofall/routing/policy.py
+++ b/calicofall/routing/policy.py
@@ -166,7 +166,7 @@
         self.placement.count_request(now, request.method)
         self.gossip.count_request(now, request.client_retry)
         if request.key is not None:
-            self.key_counts.add(request.key)
+            self.key_counts.add(request.key, self.settings.max_keys)
 
     def _decide_for_origin(self, now: float, request: Request, method: MethodSettings) -> Decision:
         """Decides on a request that only the origin can answer."""
--- a/calicofall/routing/retry_policy.py
+++ b/calicofall/routing/retry_policy.py
@@ -22,6 +22,7 @@
 FAILING_GROUP_SHARE = 0.75
 GROUP_SPAN_MS = 8_000.0  # failures of a group are counted over this time
 GROUP_MIN_SAMPLES = 3
+MAX_FAILING_GROUPS = 1024  # each takes half a kilobyte
 TRIAL_PROBABILITY = 1 / 16  # of an attempt despite a known failure, which detects its end
 OVER_QUOTA_BUDGET_FRACTION = 0.25  # of the retry budget, for requests beyond their tenant's quota
 # Failures after which another attempt may succeed, even at the same endpoint.
@@ -117,6 +118,8 @@
             return
         failed = float(outcome == AttemptOutcome.ERROR)
         for group in request.groups():
+            if group not in self.failing_groups and len(self.failing_groups) >= MAX_FAILING_GROUPS:
+                continue
             self.failing_groups.setdefault(group, SlidingWindow(GROUP_SPAN_MS, 4)).add(now, failed)
 
     def has_allowance(self) -> bool:
--- a/calicofall/routing/settings.py
+++ b/calicofall/routing/settings.py
@@ -9,6 +9,7 @@
 from math import inf
 from typing import Any
 
+from calicofall.routing.cached_keys import DEFAULT_MAX_KEYS
 from calicofall.routing.endpoint import PlacementConstraint
 from calicofall.routing.request import RetrySafety
 
@@ -121,6 +122,11 @@
         if caps.get("retry_after"):
             self.max_retry_after_ms = caps.get("max_retry_after") or 0.0
 
+    @property
+    def max_keys(self) -> int:
+        """How many keys each table by key may hold: a cap that the proxy adds, by its memory."""
+        return self.caps.get("max_keys") or DEFAULT_MAX_KEYS
+
     def _max_useful_fetch_ms(self, look_aside: bool) -> float:
         if look_aside:
             return self.latency_objective_ms
