--- a/calicofall/proxy/clients.py
+++ b/calicofall/proxy/clients.py
@@ -12,7 +12,7 @@
 from calicofall.proxy.client_connection import NO_PARTIAL_COMMAND, ClientConnection, PendingReply
 from calicofall.proxy.close_cause import CloseCause
 from calicofall.proxy.command_memory import CommandMemory
-from calicofall.proxy.kernel_buffers import discard_unread_input
+from calicofall.proxy.kernel_buffers import discard_unread_input, unread_bytes
 
 FIRST_BYTE_TIMEOUT_S = 2.3
 COMMAND_TIMEOUT_S = 2.5  # for a complete command, or for more input of a long one
@@ -22,7 +22,7 @@
 IDLE_BUDGET_DIVISOR = 8  # too many are idle when they exceed the budget divided by this number
 SHUTDOWN_TIMEOUT_S = 0.1  # for the first byte and for a command, during a shutdown
 MAX_RELEASING_DESCRIPTORS = 4  # of closed connections, while further ones are accepted
-FRESH_CONNECTION_S = 0.25  # age up to which a connection without input does not count as silent
+FRESH_CONNECTION_S = 0.25  # up to which a connection without (further) input does not count as silent
 
 
 class ClientConnections:
@@ -218,19 +218,27 @@
 
         In this order: one that is closing, one that has been silent since it was accepted, the longest idle
         one, a fresh one without input, one with an incomplete command. None to whose client a reply is due,
-        or whose client has not received all output: the close of a socket over unread input discards it.
+        or whose client has not received all output: the close of a socket over unread input discards it. And
+        none whose input is unread, or whose command waits for memory or is still arriving.
         """
         silent_before = self.loop.time() - FRESH_CONNECTION_S
-        silent = (client for client, since in self.without_first_byte.items() if since < silent_before)
+        without_input = [client for client in self.without_first_byte if not unread_bytes(client.transport)]
+        silent = (client for client in without_input if self.without_first_byte[client] < silent_before)
         candidates: Sequence[ClientConnection | None] = (
             first_without_due(self.closing),
             next(silent, None),
-            first_without_due(self.idle),
-            next(iter(self.without_first_byte), None),
-            first_without_due(self.partial_commands),
+            first_without_due(client for client in self.idle if not unread_bytes(client.transport)),
+            next(iter(without_input), None),
+            first_without_due(client for client in self.partial_commands if self._awaits_input(client)),
         )
         return next((client for client in candidates if client is not None), None)
 
+    def _awaits_input(self, client: ClientConnection) -> bool:
+        """Whether an incomplete command has not all arrived, as far as the proxy can tell."""
+        is_fresh = client.partial_progress_at >= self.loop.time() - FRESH_CONNECTION_S
+        is_arriving = client.parser.is_reading_long_value and is_fresh
+        return not (is_arriving or client in self.memory.waiting or unread_bytes(client.transport))
+
     def _may_go_on(self, client: ClientConnection, now: float, overdue_before: float) -> bool:
         """Returns whether an overdue command may go on: a long one that grows or that waits for memory."""
         makes_progress = client.parser.is_reading_long_value and client.partial_progress_at >= overdue_before
--- a/tests/test_command_memory.py
+++ b/tests/test_command_memory.py
@@ -255,6 +255,23 @@
     assert client.transport.eof_written
 
 
+def test_newcomer_closes_no_connection_whose_command_waits_for_memory() -> None:
+    """Guards against a request that has been read and gets no answer, as others have no connection left."""
+    harness = memory_harness()
+    holder, waiting = WritingClient(harness, 1), WritingClient(harness, 2)
+    holder.write()
+    waiting.write()
+    harness.proxy.clients.set_max_connections(len(harness.proxy.clients.connections))
+    assert harness.client() is None
+    harness.proxy.clients.set_max_connections(1000)
+    for client in (holder, waiting):
+        client.write_all()
+        answer_all(harness)
+        harness.loop.advance(0.1)
+        answer_all(harness)
+        assert client.transport.sent == b"$6\r\nstored\r\n"
+
+
 ACTIONS = ("write", "write", "write", "rest", "answer", "advance", "leave")
 
 
