--- a/calicofall/cli/testbed.py
+++ b/calicofall/cli/testbed.py
@@ -151,14 +151,15 @@
 @click.option("--seed", type=int, default=1, help="First seed.")
 @click.option("--count", type=click.IntRange(1, 10_000), default=5)
 @click.option("--versions", is_flag=True, help="Scenarios in which settings are published during faults.")
+@click.option("--troubles", is_flag=True, help="Scenarios with troubles of caches and hostile clients.")
 @click.option("--record", is_flag=True, help="Proxies record, and each record is replayed.")
 @click.option("--out", type=click.Path(file_okay=False), help="Folder for the logs and results.")
-def walk(seed: int, count: int, versions: bool, record: bool, out: str | None) -> None:
+def walk(seed: int, count: int, versions: bool, troubles: bool, record: bool, out: str | None) -> None:
     """Run scenarios generated from seeds; the first that fails is reduced to a minimal failing one."""
     randomized = RandomizedRun(load_testbed(), Path(out or tempfile.mkdtemp(prefix="stage-walk-")), record)
     try:
         for number in range(seed, seed + count):
-            randomized.run(number, versions)
+            randomized.run(number, versions, troubles)
     except KeyboardInterrupt:
         raise TestbedCommandError("stopped: all started processes have ended") from None
     if versions:
@@ -196,12 +197,14 @@
     longest_s: float = 0.0
     bound_s: float = 0.0
 
-    def run(self, seed: int, versions: bool) -> None:
+    def run(self, seed: int, versions: bool, troubles: bool = False) -> None:
         """Run the scenario of a seed; after a failure, reduce it and exit with EXIT_FAILED."""
         from calicofall.testbed import randomized_scenarios
 
         if versions:
             scenario = randomized_scenarios.draw_version_scenario(seed)
+        elif troubles:
+            scenario = randomized_scenarios.draw_trouble_scenario(seed)
         else:
             scenario = randomized_scenarios.draw_scenario(seed)
         if self.record:
--- a/calicofall/proxy/client_connection.py
+++ b/calicofall/proxy/client_connection.py
@@ -110,7 +110,8 @@
         self.lacks_memory = False
         # Memory of answers that were written and not accepted yet, since the client reads slowly.
         self.unaccepted_bytes = 0
-        self.partial_progress_at = 0.0  # when more of it was last received (s, the loop's clock)
+        self.partial_progress_at = 0.0  # when more of it last arrived (s, the loop's clock)
+        self.progress_bytes = 0  # all input up to then
         self.stall_timer: asyncio.TimerHandle | None = None
 
     def get_buffer(self, sizehint: int) -> memoryview:
@@ -204,6 +205,12 @@
         long_value_bytes = self.parser.long_value_bytes
         return (0, buffer_bytes + long_value_bytes) if long_value_bytes else (buffer_bytes, 0)
 
+    def note_progress(self) -> None:
+        """Notes when the last input arrived; what lay unread during a wait may have arrived before it."""
+        if self.received_bytes > self.progress_bytes:
+            self.progress_bytes = self.received_bytes
+            self.partial_progress_at = self.held_input.arrived_at(self.received_bytes, self.loop.time())
+
     def on_room(self, waited_s: float) -> None:
         """There is room for the long value that this client waits to be read."""
         self.parser.accept_long_value()
--- a/calicofall/proxy/clients.py
+++ b/calicofall/proxy/clients.py
@@ -113,7 +113,7 @@
         former_short, former_reserved = client.partial_bytes
         client.partial_bytes = client.measure_partial_command() if has_partial else NO_PARTIAL_COMMAND
         if has_partial:
-            client.partial_progress_at = self.loop.time()
+            client.note_progress()
             self.partial_commands.setdefault(client, client.partial_progress_at)
             self.idle.pop(client, None)  # a slow client is not idle while it sends a command
         else:
--- a/calicofall/proxy/held_input.py
+++ b/calicofall/proxy/held_input.py
@@ -23,6 +23,10 @@
         if not self._arrivals or end_offset > self._arrivals[-1][0]:
             self._arrivals.append((end_offset, arrived_at))
 
+    def arrived_at(self, offset: int, now: float) -> float:
+        """Returns when the input before an offset had arrived; now, if it was not held up."""
+        return next((arrived_at for end, arrived_at in self._arrivals if end >= offset), now)
+
     def take_wait_s(self, end_offset: int, now: float) -> float:
         """Returns how long a command that ends at an offset was held up, and forgets what came before it."""
         while self._arrivals and self._arrivals[0][0] < end_offset:
--- a/calicofall/testbed/checker.py
+++ b/calicofall/testbed/checker.py
@@ -27,6 +27,8 @@
 MAX_SICK_SEND_RATIO = 0.75  # of its earlier rate of requests, that a sick cache may still be sent
 BASELINE_SPAN_S = 5.0  # before a cache turns sick, in which its earlier rate of requests is measured
 LARGE_RESPONSES_SUFFIX = " (large answers)"
+AWAITED_FRACTION = 0.7  # of the deadline of a request, within which its reply has to be awaited
+DEPARTURE_GRACE_S = 0.1  # after a client has left, in which an attempt may still begin
 MIN_SAMPLES = 8  # answers or sends from which on a share of them is meaningful
 RATE_TOLERANCE = 0.1  # share of a rate bound: the testbed's lateness may move events into another second
 
@@ -106,7 +108,8 @@
         self.unavailable_spans: dict[str, list[tuple[float, float]]] = defaultdict(list)
         since: dict[str, float] = {}
         for process_event in sorted(history.process_events):
-            if process_event.what in ("killed", "stopped", "termed", "exited"):
+            # After SIGTERM a proxy still owes the answers to what it reads.
+            if process_event.what in ("killed", "stopped", "exited"):
                 since.setdefault(process_event.proxy, process_event.at)
             elif process_event.what in ("woken", "launched") and process_event.proxy in since:
                 self.unavailable_spans[process_event.proxy].append(
@@ -158,6 +161,10 @@
             self.check_sick_caches,
             self.check_served,
             self.check_exits,
+            self.check_paused_replies,
+            self.check_departures,
+            self.check_memory,
+            self.check_hostile_clients,
         ):
             check()
         self.figures |= {
@@ -241,6 +248,8 @@
             if len(received) > 1:
                 self.add_finding("one answer", attempt.proxy, received[1].at, f"{attempt.id}: answered twice")
         for send in self.history.upstream_sends:
+            if send.id in self.history.unjudged_ids:
+                continue
             if send.id not in deadlines:
                 self.add_finding(
                     "one answer", send.proxy, send.at, f"{send.id}: sent, though no client asked"
@@ -768,6 +777,69 @@
             since = (second if since is None else since) if is_steady else None
         return since
 
+    # Troubles of clients and cache nodes
+
+    def check_paused_replies(self) -> None:
+        """Check that a reply whose bytes pause is awaited, if it ends early enough for its request."""
+        answers = {answer.id: answer for answer in self.history.client_answers if answer.id}
+        judged = 0
+        for attempt in self.history.client_attempts:
+            paused = self.history.paused_replies.get(attempt.id)
+            answer = answers.get(attempt.id)
+            due = attempt.at + AWAITED_FRACTION * attempt.deadline_s
+            if not paused or answer is None or paused[0].ends_at + self.tolerance_s > due:
+                continue
+            if self.was_unavailable(attempt.proxy, attempt.at, attempt.at + attempt.deadline_s):
+                continue
+            judged += 1
+            if answer.kind != "completed":
+                pause_s = paused[0].ends_at - paused[0].begins_at
+                what = f"{attempt.id}: {answer.kind}, though a cache wrote its reply within {pause_s:.2f} s"
+                self.add_finding("paused replies", attempt.proxy, answer.at, what)
+        self.figures["paused_replies"] = judged
+
+    def check_departures(self) -> None:
+        """Check that nothing begins for a client that has left."""
+        latest = 0.0
+        for send in self.history.upstream_sends:
+            left_at = self.history.departures.get(send.id)
+            if left_at is None or left_at == float("inf"):
+                continue
+            late_s = send.at - left_at
+            latest = max(latest, late_s)
+            if late_s > DEPARTURE_GRACE_S + self.tolerance_between(left_at, send.at):
+                self.add_finding(
+                    "departures", send.proxy, send.at, f"{send.id}: sent {late_s:.2f} s after its client left"
+                )
+        self.figures |= {
+            "departed": len(self.history.departures),
+            "latest_after_departure_s": round(latest, 3),
+        }
+
+    def check_memory(self) -> None:
+        """Check that no process exceeds its limit of memory."""
+        limit = self.scenario.fleet.memory_mb << 20
+        peaks = self.history.memory_peaks
+        self.figures["memory_peak_mb"] = round(
+            max([peak for peak, _ in peaks.values()], default=0) / 2**20, 1
+        )
+        if self.scenario.must.within_memory:
+            for proxy, (peak, at) in peaks.items():
+                if peak > limit:
+                    self.add_finding("memory", proxy, at, f"{peak / 2**20:.1f} MB of {limit >> 20}")
+
+    def check_hostile_clients(self) -> None:
+        """Check that each client that misuses a proxy gets an error or a close in time."""
+        bound = self.scenario.must.hostile_s
+        for end in self.history.hostile_ends if bound is not None else ():
+            due = end.at + bound + self.tolerance_s
+            if due > self.history.ended_at or self.was_unavailable(end.proxy, end.at, due):
+                continue
+            if end.ended_at is None or end.ended_at > due:
+                took = "nothing" if end.ended_at is None else f"{end.ended_at - end.at:.2f} s"
+                self.add_finding("hostile clients", end.proxy, end.at, f"{end.kind}: {took}")
+        self.figures["hostile_clients"] = len(self.history.hostile_ends)
+
     def check_exits(self) -> None:
         """Check that no proxy exits by itself, and that each exits with 0 after SIGTERM."""
         last_event: dict[str, str] = {}  # of launched, killed and termed, by proxy
--- a/calicofall/testbed/clients.py
+++ b/calicofall/testbed/clients.py
@@ -261,6 +261,8 @@
                 else [proxy for proxy in self.available_proxies if proxy in self.first_tenant_proxies]
             )
             proxy = self.random_generator.choice(candidates) if candidates else None
+            if traffic.keeps and self.random_generator.random() < traffic.keeps:
+                proxy = self.left_proxy() or proxy
             connection = await self.connect(proxy) if proxy else None
             if connection is None:
                 await asyncio.sleep(min(RECONNECT_DELAY_S, remaining_s))
@@ -279,6 +281,11 @@
                 break
         self.history.client_requests.append(ClientRequest(at, method, completed_at, tenant, last_attempt_id))
 
+    def left_proxy(self) -> str | None:
+        """Return a proxy that is not available and to which a connection is open, if there is any."""
+        left = [proxy for proxy, idle in self.idle.items() if idle and proxy not in self.available_proxies]
+        return self.random_generator.choice(sorted(left)) if left else None
+
     async def connect(self, proxy: str) -> ClientConnection | None:
         """Return an idle connection or a new one; None: the proxy does not accept any."""
         while self.idle[proxy]:
--- a/calicofall/testbed/emulated_servers.py
+++ b/calicofall/testbed/emulated_servers.py
@@ -26,6 +26,7 @@
     DiscoveryCall,
     History,
     ListEvent,
+    PausedReply,
     ServerExecution,
     UpstreamConnectionEvent,
     UpstreamSend,
@@ -228,6 +229,8 @@
         drops_below_ms: What little time is.
         breaks: Share of the long replies that a reset breaks off in the middle.
         resets: Share of the deduplicated writes whose connection is reset in place of the reply.
+        pauses: Share of the replies that are written in pieces, with pauses between them.
+        longest_pause_s: All pauses of such a reply together, at most.
         random_generator: Draws which replies and commands are affected.
     """
 
@@ -238,6 +241,8 @@
     breaks: float = 0.0
     resets: float = 0.0
     random_generator: Random = field(default_factory=lambda: Random(0))
+    pauses: float = 0.0
+    longest_pause_s: float = 0.0
 
     def drops_command(self, time_left_ms: float) -> bool:
         """Return whether a command with this time left gets no reply."""
@@ -247,6 +252,21 @@
         """Return whether a reply of a size (bytes) breaks off in the middle."""
         return size > LONG_REPLY_BYTES and self.random_generator.random() < self.breaks
 
+    def draw_pieces(self, reply: bytes) -> list[tuple[float, bytes]]:
+        """Return a reply's pieces, each with the time (s) after the first one at which it is written."""
+        draw = self.random_generator
+        if draw.random() >= self.pauses:
+            return [(0.0, reply)]
+        head = reply.index(b"\r\n", 4) + 2  # behind the length of the value
+        places = [2, head - 1, head, head + 1, len(reply) // 2, len(reply) - 9, len(reply) - 2]
+        cuts = sorted(draw.sample(sorted({place for place in places if 0 < place < len(reply)}), 2))
+        delays = sorted(draw.uniform(0.0, self.longest_pause_s) for _ in cuts)
+        begins = [0, *cuts]
+        ends = [*cuts, len(reply)]
+        return [
+            (delay, reply[begin:end]) for delay, begin, end in zip([0.0, *delays], begins, ends, strict=True)
+        ]
+
     def resets_write(self, method: str) -> bool:
         """Return whether a command's connection is reset in place of its reply."""
         return method == DEDUPLICATED_METHOD and self.random_generator.random() < self.resets
@@ -262,6 +282,7 @@
         value_size: Returns the size (bytes) of a key's value.
         sends_load_reports: Whether answers carry the node's load.
         reply_faults: Faults of its replies.
+        sock: The socket of the node that it replaces; None: it gets one of its own.
     """
 
     def __init__(  # noqa: PLR0913 - parts of one node, passed once
@@ -272,6 +293,7 @@
         value_size: Callable[[str], int],
         sends_load_reports: bool,
         reply_faults: ReplyFaults | None = None,
+        sock: socket.socket | None = None,
     ) -> None:
         self.reply_faults = reply_faults or ReplyFaults()
         self.runner, self.name, self.model, self.value_size, self.sends_load_reports = (
@@ -282,7 +304,8 @@
             sends_load_reports,
         )
         self.read_bytes_per_s: float | None = None  # None: as fast as bytes come
-        self.sock = loopback_socket(socket.SOCK_STREAM)
+        self.successor: CacheEmulator | None = None  # the node that has this one's address now
+        self.sock = loopback_socket(socket.SOCK_STREAM) if sock is None else sock
         self.port = self.sock.getsockname()[1]
 
     def read_slowly(self, bytes_per_s: float) -> None:
@@ -292,7 +315,13 @@
 
     async def open(self) -> None:
         """Accept connections."""
-        await self.runner.loop.create_server(lambda: CacheConnection(self.runner, self), sock=self.sock)
+        await self.runner.loop.create_server(
+            lambda: CacheConnection(self.runner, self.latest()), sock=self.sock
+        )
+
+    def latest(self) -> "CacheEmulator":
+        """Return the node that has this one's address now."""
+        return self if self.successor is None else self.successor.latest()
 
 
 class CacheConnection(EmulatedConnection):
@@ -398,10 +427,25 @@
                 if self.emulator.reply_faults.breaks_reply(len(reply)):
                     self.break_off(attempt_id, reply)
                     return
+                pieces = self.emulator.reply_faults.draw_pieces(reply)
+                if len(pieces) > 1:
+                    self.send_pieces(index, pieces)
+                    return
                 self.runner.history.whole_replies.add(attempt_id)
                 self.send(reply, index + 1)
                 self.schedule_copy(reply)
 
+    def send_pieces(self, index: int, pieces: list[tuple[float, bytes]]) -> None:
+        """Write the reply of a send in pieces."""
+        loop, history = self.runner.loop, self.runner.history
+        attempt_id = history.upstream_sends[index].id
+        begins_at = loop.time()
+        paused = PausedReply(begins_at, begins_at + pieces[-1][0])
+        history.paused_replies.setdefault(attempt_id, []).append(paused)
+        for delay_s, piece in pieces[:-1]:
+            loop.call_at(begins_at + delay_s, self.send, piece)
+        loop.call_at(paused.ends_at, self.send, pieces[-1][1], index + 1)
+
     def break_off(self, attempt_id: str, reply: bytes) -> None:
         """Send the first half of a reply, then reset the connection."""
         self.runner.history.broken_replies.add(attempt_id)
--- a/calicofall/testbed/history.py
+++ b/calicofall/testbed/history.py
@@ -120,6 +120,22 @@
     last_attempt_id: str = ""  # empty: there was no attempt
 
 
+class HostileEnd(NamedTuple):
+    """What a client that is owed an error or a close got."""
+
+    at: float  # when it connected
+    proxy: str
+    kind: str
+    ended_at: float | None  # None: neither
+
+
+class PausedReply(NamedTuple):
+    """A reply that a cache node writes in pieces, with pauses."""
+
+    begins_at: float
+    ends_at: float
+
+
 @dataclass
 class History:
     """All events of one run, in the order in which they were recorded.
@@ -156,6 +172,11 @@
         broken_replies: Ids of attempts whose reply a cache node broke off in the middle.
         reset_writes: Number of writes whose connection was reset in place of the reply.
         second_copies: Number of replies that cache nodes sent a second time.
+        paused_replies: By id of an attempt: the replies that cache nodes wrote, or began to write, in pieces.
+        unjudged_ids: Ids of attempts of hostile clients, whose answers are not judged.
+        departures: By id of an attempt of a client that left at once: when it had left.
+        hostile_ends: What hostile clients got.
+        memory_peaks: By proxy: the largest resident memory of its processes (bytes), and when it was seen.
     """
 
     started_at: float = 0.0
@@ -189,3 +210,8 @@
     broken_replies: set[str] = field(default_factory=set)
     reset_writes: int = 0
     second_copies: int = 0
+    paused_replies: dict[str, list[PausedReply]] = field(default_factory=dict)
+    unjudged_ids: set[str] = field(default_factory=set)
+    departures: dict[str, float] = field(default_factory=dict)
+    hostile_ends: list[HostileEnd] = field(default_factory=list)
+    memory_peaks: dict[str, tuple[int, float]] = field(default_factory=dict)
--- a/calicofall/testbed/randomized_scenarios.py
+++ b/calicofall/testbed/randomized_scenarios.py
@@ -40,6 +40,10 @@
     "service_restart",
 )
 
+KILL_DELAY_S = 0.7  # from the longest deadline after SIGTERM to SIGKILL
+TROUBLE_DURATION_S = 16.0
+HOSTILE_BOUND_S = 3.0  # until a client that misuses a proxy gets an error or a close
+
 Event = dict[str, Any]  # an event of a scenario, as in its file
 
 
@@ -180,6 +184,80 @@
     )
 
 
+def draw_trouble_scenario(seed: int) -> Scenario:
+    """Draw a scenario whose cache nodes and clients are in trouble, with signals in series.
+
+    Replies pause, commands are read slowly, caches come up at the addresses of others, and clients stop half
+    way, send what is no command, read nothing, flood, or leave at once. Clients keep using connections to a
+    proxy that terminates, until it is killed as early as the protocol allows.
+    """
+    random_generator = Random(seed)
+    proxies = random_generator.choice([2, 2, 3])
+    caches = random_generator.randint(4, 6)
+    memory_mb = random_generator.choice([32, 32, 48, 64])
+    hard_s = random_generator.choice([1.0, 1.5, 2.0])
+    events: list[Event] = [
+        {"at": at, "do": "replace", "who": f"c{number}"}
+        for number, at in enumerate(sorted(round(random_generator.uniform(3.0, 9.0), 1) for _ in range(2)))
+    ]
+    term_at = round(random_generator.uniform(4.0, 6.0), 1)
+    victim = f"p{random_generator.randrange(proxies)}"
+    kill_at = round(term_at + hard_s + KILL_DELAY_S, 2)
+    events.append({"at": term_at, "until": kill_at, "do": "term", "who": victim})
+    if random_generator.random() < 0.5:
+        events.append({"at": round(term_at - 0.1, 2), "do": "reload", "who": victim})
+    if random_generator.random() < 0.5:
+        events.append(
+            {"at": round(term_at + random_generator.uniform(0.05, 0.6), 2), "do": "term", "who": victim}
+        )
+    restarts = random_generator.choice([0, 0, 1, 3])
+    other = f"p{(int(victim[1:]) + 1) % proxies}"
+    events += [
+        {"at": round(9.0 + 1.2 * number, 1), "do": "restart", "who": other} for number in range(restarts)
+    ]
+    has_crowd = random_generator.random() < 0.6
+    return parse_scenario(
+        {
+            "name": f"trouble-{seed}",
+            "seed": seed,
+            "seconds": TROUBLE_DURATION_S,
+            "fleet": {
+                "proxies": proxies,
+                "caches": caches,
+                "memory_mb": memory_mb,
+                "sockets": random_generator.choice([256, 1024, 1024]),
+                "told": False,
+            },
+            "cache": {
+                "cold": False,
+                "connections": 512,
+                "cold_share": 0.3,
+                "pauses": random_generator.choice([0.05, 0.2, 0.5]),
+                "pause_ms": random_generator.choice([100.0, 300.0, 600.0]),
+                "slow_readers": random_generator.choice([0, 1]),
+                "read_per_s": random_generator.choice([50_000.0, 300_000.0]),
+            },
+            "traffic": {
+                "per_s": random_generator.choice([30.0, 60.0]),
+                "orders": 0.1,
+                "writes": 0.2,
+                "write_bytes": random_generator.choice([100, 20_000, 60_000]),
+                "hard_ms": hard_s * 1000.0,
+                "soft_ms": hard_s * 1000.0,
+                "large": 0.1,
+                "large_bytes": random_generator.choice([20_000, 60_000, 200_000]),
+                "keeps": 0.3,
+                "hostile_per_s": random_generator.choice([2.0, 6.0]),
+                "crowd": random_generator.choice([100, 300]) if has_crowd else 0,
+                "crowds_at": [3.5, 10.5] if has_crowd else [],
+            },
+            "event": events,
+            "must": {"within_memory": True, "hostile_s": HOSTILE_BOUND_S},
+        },
+        f"trouble {seed}",
+    )
+
+
 def shrink_scenario(
     scenario: Scenario, fails: Callable[[Scenario], bool], log: Callable[[str], None]
 ) -> Scenario:
--- a/calicofall/testbed/runner.py
+++ b/calicofall/testbed/runner.py
@@ -33,6 +33,7 @@
     proxy_address,
 )
 from calicofall.testbed.history import CanaryEvent, History, ProcessEvent, PublishedVersion
+from calicofall.testbed.hostile_clients import HostileClients
 from calicofall.testbed.network_faults import LinkFault, LinkFaults
 from calicofall.testbed.scenario import CLOCK_DRIFT, MAX_PAUSE_S, ZONE_NAMES, Scenario, expand_group
 from calicofall.testbed.server_models import CacheModel, DiscoveryModel, OriginModel
@@ -41,7 +42,9 @@
 FIRST_PROXY_PORT = 10_240
 LAG_CHECK_INTERVAL_S = 0.02  # between two checks of how late the testbed itself is
 MIN_LAG_S = 0.005  # below it a lag of the testbed is not recorded
-PROCESS_EVENTS = frozenset({"kill", "term", "stop", "restart"})
+PROCESS_EVENTS = frozenset({"kill", "term", "stop", "restart", "reload"})
+REMOVAL_DELAY_S = 4.0  # from the start of a cache at the address of another until that one's removal is told
+REPLACEMENT_NUMBER_STEP = 1000  # from the number of a cache to that of the one that replaces it
 LINK_EVENTS = frozenset({"cut", "slow", "delay", "reset", "lose"})
 CANARY_MAX_INCREASE = 0.05  # of the share of failed requests, that a canary is allowed
 DEFAULT_COMMAND = [sys.executable, "-O", "-m", "calicofall", "serve"]
@@ -114,6 +117,7 @@
             self.measure_lag()
             self.clients.start(self.started_at)
             self.batch_clients.start()
+            self.hostile_clients.start()
             self.schedule_events()
             await self.launch_proxies()
             while (left := self.started_at + self.scenario.seconds - self.loop.time()) > 0.0:
@@ -154,6 +158,7 @@
         ]  # for operators' calls
         self.clients = Clients(self.loop, scenario, self.history, self.client_addresses)
         self.batch_clients = BatchClients(self.clients)
+        self.hostile_clients = HostileClients(self.clients)
         self.caches: dict[str, CacheEmulator] = {}
         for number in range(fleet.caches):
             self.create_cache(f"c{number}")
@@ -186,8 +191,8 @@
                 for i in range(fleet.proxies)
             ]
 
-    def create_cache(self, name: str) -> None:
-        """Create an emulated cache."""
+    def create_cache(self, name: str, sock: socket.socket | None = None) -> None:
+        """Create an emulated cache, with the socket of one that it replaces if that is given."""
         cache = self.scenario.cache
         model = CacheModel(
             self.origin,
@@ -210,8 +215,10 @@
             cache.breaks,
             cache.resets,
             Random(name),
+            cache.pauses,
+            cache.pause_ms / 1000.0,
         )
-        emulator = CacheEmulator(self, name, model, self.clients.value_size, cache.reports, faults)
+        emulator = CacheEmulator(self, name, model, self.clients.value_size, cache.reports, faults, sock)
         if int(name[1:]) < cache.slow_readers:
             emulator.read_slowly(cache.read_per_s)
         self.caches[name] = emulator
@@ -539,6 +546,7 @@
                 "kill": (signal.SIGKILL, "killed"),
                 "term": (signal.SIGTERM, "termed"),
                 "stop": (signal.SIGSTOP, "stopped"),
+                "reload": (signal.SIGHUP, "reloaded"),
             }[event.do]
             self.signal_proxy(name, signal_number, what)
 
@@ -576,7 +584,9 @@
         """Carry out an event on caches."""
         now, wall = self.loop.time(), time.time()
         for name in sorted(self.expand(event.who)):
-            if event.do == "drain":
+            if event.do == "replace":
+                self.replace_cache(name)
+            elif event.do == "drain":
                 self.discovery.publish_entries(self.endpoint_entry(name, "DRAINING"))
             elif event.do == "remove":
                 self.discovery.publish_entries(self.endpoint_entry(name, "DELETED"))
@@ -589,6 +599,26 @@
                 self.history.cold_starts.setdefault(name, []).append(now)
                 self.discovery.publish_entries(self.endpoint_entry(name, since=wall))
 
+    def replace_cache(self, name: str) -> None:
+        """Let a cache die, and a cold one of another name come up at its address.
+
+        Its removal is told some time after the new one.
+        """
+        former = self.caches[name]
+        successor = f"c{int(name[1:]) + REPLACEMENT_NUMBER_STEP}"
+        self.create_cache(successor, former.sock)
+        former.successor = self.caches[successor]
+        for connection in [one for one in self.connections if one.server_name == name]:
+            connection.abort()
+        now = self.loop.time()
+        former.successor.model.start(now)
+        self.history.cold_starts.setdefault(successor, []).append(now)
+        self.history.cache_zones[successor] = self.endpoint_entry(successor)["zone"]
+        self.discovery.publish_entries(self.endpoint_entry(successor, since=time.time()))
+        self.loop.call_later(
+            REMOVAL_DELAY_S, self.discovery.publish_entries, self.endpoint_entry(name, "DELETED")
+        )
+
     def end_event(self, event: Any) -> None:
         """End an event that lasts."""
         if event.do == "stop":
@@ -627,9 +657,20 @@
                 self.scheduler_times[process.pid] = int(fields[0]), int(fields[1])
                 processor_time_s += (int(fields[0]) - ran_ns) / 1e9
                 longest_wait_s = max(longest_wait_s, (int(fields[1]) - waited_ns) / 1e9)
+        self.record_memory()
         self.history.core_waits.append((self.loop.time(), longest_wait_s))
         self.history.processor_use.append((self.loop.time(), processor_time_s))
 
+    def record_memory(self) -> None:
+        """Record the largest resident memory that each process has had."""
+        for name, process in self.processes.items():
+            with suppress(OSError):
+                lines = Path(f"/proc/{process.pid}/status").read_text().splitlines()
+                peak = next((line.split()[1] for line in lines if line.startswith("VmHWM:")), "0")
+                former, _ = self.history.memory_peaks.get(name, (0, 0.0))
+                if int(peak) << 10 > former:
+                    self.history.memory_peaks[name] = int(peak) << 10, self.loop.time()
+
     def report_status(self) -> None:
         """Record processor use, and report the progress of the run."""
         self.record_processor_use()
--- a/calicofall/testbed/scenario.py
+++ b/calicofall/testbed/scenario.py
@@ -89,6 +89,8 @@
     drops_below_ms: NonNegativeNumber = 0.0
     breaks: Share = 0.0  # of the replies over 64 KiB, those that a reset breaks off in the middle
     resets: Share = 0.0  # of the deduplicated writes, those whose connection is reset in place of the reply
+    pauses: Share = 0.0  # of the replies, those written in pieces with pauses between them
+    pause_ms: PositiveNumber = 600.0  # all pauses of such a reply together, at most
     slow_readers: Annotated[int, Field(ge=0)] = 0  # caches, the first ones, that read at `read_per_s`
     read_per_s: PositiveNumber = 1_000_000.0  # bytes
 
@@ -123,6 +125,11 @@
     batches_per_s: NonNegativeNumber = 0.0  # of reads that a client sends at once on a connection of its own
     batch: PositiveInteger = 80  # reads in a batch: the first ones of large values, four fifths of small ones
     batch_read_per_s: PositiveNumber = 10_000_000.0  # bytes at which such a client reads
+    hostile_per_s: NonNegativeNumber = 0.0  # connections of clients that misuse a proxy
+    crowd: Annotated[int, Field(ge=0)] = 0  # such connections at once, of one kind, at each of `crowds_at`
+    crowds_at: list[NonNegativeNumber] = []  # s after the start
+    crowd_kind: str | None = None  # None: drawn for each crowd
+    keeps: Share = 0.0  # of the requests, those on open connections to a proxy that the balancer has left
     hot: Share = 0.0  # of the requests, those for one key, from `hot_at` on
     hot_at: NonNegativeNumber = 0.0  # s
     notices_s: NonNegativeNumber = 1.0  # after which the load balancer detects a dead proxy
@@ -163,7 +170,8 @@
 class ProcessEvent(TimedEvent):
     """A signal to the processes of proxies."""
 
-    do: Literal["kill", "term", "stop", "restart"]  # restart: kill, then start again
+    # restart: kill, then start again; reload: SIGHUP
+    do: Literal["kill", "term", "stop", "restart", "reload"]
     who: Group
     over: NonNegativeNumber = 0.0  # s over which the processes are signalled one after the other
     forget: bool = False  # start again without snapshots
@@ -194,7 +202,8 @@
     """A change of caches, or a burst of traffic."""
 
     # sick: `amount` times slower; sick_large: so for large values only; burst: `amount` times the traffic
-    do: Literal["drain", "remove", "add", "cold", "sick", "sick_large", "burst"]
+    # replace: each dies, and a new one, of another name, comes up at its address; told at once
+    do: Literal["drain", "remove", "add", "cold", "sick", "sick_large", "burst", "replace"]
     who: Group = "all"
     amount: NonNegativeNumber = 0.0
 
@@ -242,6 +251,8 @@
     avoided_s: PositiveNumber | None = None
     # halted_s: after a harmful version is tried, until it fails no more requests
     halted_s: PositiveNumber | None = None
+    within_memory: bool = False  # no process's resident memory exceeds its limit
+    hostile_s: PositiveNumber | None = None  # until a client that misuses a proxy gets an error or a close
     served: Share | None = None  # of the requests of the last third, those completed in time
     served_first: Share | None = None  # likewise, of the first tenant's requests
     serves_all_s: PositiveNumber | None = None  # after the start, until all proxies answer PING
--- a/tests/rogues.py
+++ b/tests/rogues.py
@@ -6,7 +6,15 @@
 
 import sys
 
-from calicofall.proxy import client_connection, discovery, server, upstream, upstream_connection
+from calicofall.proxy import (
+    client_connection,
+    command_memory,
+    discovery,
+    request_lifecycle,
+    server,
+    upstream,
+    upstream_connection,
+)
 from calicofall.proxy.active_request import ActiveRequest
 from calicofall.proxy.request_lifecycle import RequestLifecycle
 from calicofall.startup import connection_quotas, discovery_schedule, time_slots
@@ -204,6 +212,35 @@
     RequestLifecycle.arrives_by = lambda self, command: float("inf")
 
 
+def cuts_paused_replies() -> None:
+    """Takes a reply that pauses for 60 ms for a broken one."""
+    connection = upstream_connection.UpstreamConnection
+    connection._incomplete_reply_due_at = lambda self: self.progress_at + 0.06
+
+
+def reads_without_room() -> None:
+    """Reads every value at once, whatever memory is in use, and keeps its reply until it is whole."""
+    command_memory.CommandMemory._fits = lambda self, size: True
+    command_memory.CommandMemory.is_exhausted = lambda self, own_bytes: False
+
+
+def remembers_all_names() -> None:
+    """Keeps every class name that a client has sent."""
+    names: list[bytes] = []
+    parse = request_lifecycle.parse_request_fields
+
+    def parse_and_remember(parts: list[bytes], *settings: object) -> object:
+        names.append(bytes(parts[3]) * 40)
+        return parse(parts, *settings)
+
+    request_lifecycle.parse_request_fields = parse_and_remember
+
+
+def overlooks_departures() -> None:
+    """Learns of a client's close only once all of its input has been read."""
+    client_connection.ClientConnection.detect_disconnect = lambda self: self.closed
+
+
 FAULTY_VARIANTS = {
     variant.__name__: variant
     for variant in (
@@ -226,6 +263,10 @@
         reads_late_replies,
         aborts_truncated_values,
         writes_repeats_late,
+        cuts_paused_replies,
+        reads_without_room,
+        remembers_all_names,
+        overlooks_departures,
     )
 }
 
--- a/tests/test_command_memory.py
+++ b/tests/test_command_memory.py
@@ -255,6 +255,23 @@
     assert client.transport.eof_written
 
 
+def test_client_that_stops_half_way_gets_its_error_in_time_although_it_waited_for_memory() -> None:
+    """Guards against a wait for memory that counts as progress of the command."""
+    harness = memory_harness()
+    holder, stopping = WritingClient(harness, 1), WritingClient(harness, 2)
+    holder.write()
+    stopping.write()
+    assert stopping.connection in memory_of(harness).waiting
+    for _ in range(8):
+        harness.loop.advance(0.1)
+        holder.write(1000)
+    holder.write_all()
+    answer_all(harness)
+    assert stopping.connection not in memory_of(harness).waiting
+    harness.loop.advance(3.0 - 0.8)
+    assert stopping.transport.sent.startswith(b"-ERR")
+
+
 def test_newcomer_closes_no_connection_whose_command_waits_for_memory() -> None:
     """Guards against a request that has been read and gets no answer, as others have no connection left."""
     harness = memory_harness()
--- a/tests/test_stage.py
+++ b/tests/test_stage.py
@@ -641,6 +641,63 @@
     assert history.reset_writes > 5
 
 
+TROUBLES = {
+    "fleet": {"proxies": 2, "caches": 4, "told": False, "memory_mb": 32, "sockets": 1024},
+    "cache": {"cold": False, "connections": 512},
+    "traffic": {"per_s": 40.0},
+    "service": {"room": 100.0},
+}
+
+
+@SECOND_GROUP
+@pytest.mark.parametrize(
+    ("variant", "rule", "changes"),
+    [
+        ("cuts_paused_replies", "paused replies", {"cache": {"pauses": 0.3, "pause_ms": 400.0}}),
+        ("reads_without_room", "memory", {"traffic": {"crowd": 500, "crowd_kind": "long half"}}),
+        ("remembers_all_names", "memory", {"traffic": {"crowd": 8, "crowd_kind": "new keys"}}),
+        ("overlooks_departures", "departures", {"traffic": {"crowd": 1000, "crowd_kind": "departing"}}),
+    ],
+)
+def test_trouble_of_caches_and_clients_finds_the_proxy_that_mishandles_it(
+    tmp_path: Path, variant: str, rule: str, changes: dict
+) -> None:
+    """One proxy of two is faulty and is found; the sound one is not blamed."""
+    tables = {name: table | changes.get(name, {}) for name, table in TROUBLES.items()}
+    tables["traffic"] |= {"crowds_at": [2.5, 5.0]}
+    plan = scenario.parse_scenario(
+        {"name": "trouble", "seconds": 9.0, "must": {"within_memory": True, "hostile_s": 3.0}}
+        | tables
+        | {"event": [{"at": 4.0, "do": "replace", "who": "c1"}]},
+        "trouble",
+    )
+    os.environ["PYTHONPATH"] = str(FAULTY_PROXY_SCRIPT.parent.parent)
+    commands = {1: [sys.executable, str(FAULTY_PROXY_SCRIPT), variant, "serve"]}
+    verdict, _ = run_until_judged(plan, tmp_path, commands=commands)
+    assert not verdict.void_reason
+    rules = {(finding.proxy, finding.rule) for finding in verdict.findings}
+    assert rules == {("p1", rule)}
+    sound_verdict, _ = run_until_judged(plan, tmp_path / "sound")
+    assert not sound_verdict.void_reason
+    assert not sound_verdict.findings
+
+
+SOAK_SEEDS = (1, 4, 6)
+
+
+@FIRST_GROUP
+@pytest.mark.parametrize("seed", SOAK_SEEDS)
+def test_soak_of_troubles_breaks_no_rule(tmp_path: Path, seed: int) -> None:
+    """A short part of the soak; the long run is `calicofall stage walk --troubles`, started by hand."""
+    plan = randomized_scenarios.draw_trouble_scenario(seed)
+    verdict, history = run_until_judged(plan, tmp_path)
+    assert not verdict.void_reason
+    assert not verdict.findings
+    assert history.paused_replies
+    assert history.departures
+    assert history.hostile_ends
+
+
 @FIRST_GROUP
 def test_bounds_broken_on_purpose_are_each_found(tmp_path: Path) -> None:
     """Fleets of faulty proxies each exceed one bound of the checker.
