Testbed: a value that is passed on may end when its cache ends it

The proxy goes on with what a cache is still sending (docs/proxy.md, test_no_timeout_ends_an_answer_that_the_cache_is_still_sending). The checker allows exactly that: a value over 64 KiB, begun before the deadline, until the cache's own last byte.

--- a/calicofall/testbed/checker.py
+++ b/calicofall/testbed/checker.py
@@ -15,8 +15,8 @@
 from collections.abc import Iterable
 from typing import Any, NamedTuple
 
-from calicofall.testbed.history import ClientAnswer, History, UpstreamSend
-from calicofall.testbed.scenario import Scenario
+from calicofall.testbed.history import ClientAnswer, ClientAttempt, History, UpstreamSend
+from calicofall.testbed.scenario import LONG_REPLY_BYTES, Scenario
 
 BASE_TOLERANCE_S = 0.05  # the protocol's allowance for times that are measured on sockets
 DRAIN_GRACE_S = 0.25  # after a proxy was notified that a cache drains or is removed
@@ -105,6 +105,9 @@
         # Delays caused by the machine, in the testbed or while proxies wait for a core, are not held against
         # any proxy.
         self.tolerance_s = BASE_TOLERANCE_S + self.testbed_lag_s + self.core_wait_s
+        self.sends_by_id: dict[str, list[UpstreamSend]] = defaultdict(list)
+        for send in history.upstream_sends:
+            self.sends_by_id[send.id].append(send)
         self.unavailable_spans: dict[str, list[tuple[float, float]]] = defaultdict(list)
         since: dict[str, float] = {}
         for process_event in sorted(history.process_events):
@@ -211,7 +214,7 @@
                 )
         deadlines, judged, exempt = {}, 0, 0
         truncated = self.truncated_attempts(answers)
-        sent = {send.id for send in self.history.upstream_sends}
+        sent = self.sends_by_id.keys()
         for attempt in self.history.client_attempts:
             deadlines[attempt.id] = attempt.at + attempt.deadline_s
             received = answers.get(attempt.id, [])
@@ -241,7 +244,7 @@
                     "one answer", attempt.proxy, received[0].at, f"{attempt.id}: the value of another attempt"
                 )
             # The time that an answer waits for those before it does not count.
-            elif not attempt.batch and received[0].at > deadlines[attempt.id] + tolerance:
+            elif not attempt.batch and received[0].at > self.last_answer_at(attempt) + tolerance:
                 self.add_finding(
                     "one answer", attempt.proxy, received[0].at, f"{attempt.id}: answered after its deadline"
                 )
@@ -260,6 +263,20 @@
                 self.add_finding("one answer", send.proxy, send.at, f"{send.id}: sent after its deadline")
         self.figures |= {"tries_judged": judged, "tries_exempt": exempt}
 
+    def last_answer_at(self, attempt: ClientAttempt) -> float:
+        """Return until when an attempt has to be answered: its deadline, but for a value that is passed on.
+
+        A value over 64 KiB is passed on as it comes, and one that a cache has begun to write before the
+        deadline may end when that cache ends it.
+        """
+        deadline = attempt.at + attempt.deadline_s
+        if self.scenario.traffic.large_bytes <= LONG_REPLY_BYTES:
+            return deadline
+        if not any(self.scenario.has_large_value(send.key) for send in self.sends_by_id.get(attempt.id, ())):
+            return deadline
+        paused = self.history.paused_replies.get(attempt.id, ())
+        return max([deadline, *(reply.ends_at for reply in paused if reply.begins_at <= deadline)])
+
     def truncated_attempts(self, answers: dict[str, list[ClientAnswer]]) -> set[str]:
         """Return the attempts that a reply that broke off left without an answer: its own, and those behind.
 
--- a/calicofall/testbed/emulated_servers.py
+++ b/calicofall/testbed/emulated_servers.py
@@ -334,6 +334,7 @@
         # By index of a send in the history, in order: its reply. None: not ready; empty: being written.
         self.replies_by_send: dict[int, bytes | None] = {}
         self.pieces_received = 0
+        self.paused_ids: set[str] = set()  # attempts whose reply has been written in part
 
     def on_established(self) -> None:
         """Perform the handshake, or abort where the node accepts no more connections."""
@@ -442,9 +443,22 @@
         begins_at = loop.time()
         paused = PausedReply(begins_at, begins_at + pieces[-1][0])
         history.paused_replies.setdefault(attempt_id, []).append(paused)
+        self.paused_ids.add(attempt_id)
         for delay_s, piece in pieces[:-1]:
             loop.call_at(begins_at + delay_s, self.send, piece)
-        loop.call_at(paused.ends_at, self.send, pieces[-1][1], index + 1)
+        loop.call_at(paused.ends_at, self.send_last_piece, index, pieces[-1][1])
+
+    def send_last_piece(self, index: int, piece: bytes) -> None:
+        """Write the last piece of the reply of a send."""
+        self.paused_ids.discard(self.runner.history.upstream_sends[index].id)
+        self.send(piece, index + 1)
+
+    def die(self) -> None:
+        """End as the connection of a process that dies: a reply that has begun breaks off."""
+        for attempt_id in self.paused_ids:
+            del self.runner.history.paused_replies[attempt_id]
+            self.runner.history.broken_replies.add(attempt_id)
+        self.abort()
 
     def break_off(self, attempt_id: str, reply: bytes) -> None:
         """Send the first half of a reply, then reset the connection."""
--- a/calicofall/testbed/runner.py
+++ b/calicofall/testbed/runner.py
@@ -25,6 +25,7 @@
 from calicofall.testbed.checker import Verdict, check_history
 from calicofall.testbed.clients import Clients
 from calicofall.testbed.emulated_servers import (
+    CacheConnection,
     CacheEmulator,
     DatagramRelay,
     DiscoveryEmulator,
@@ -608,8 +609,9 @@
         successor = f"c{int(name[1:]) + REPLACEMENT_NUMBER_STEP}"
         self.create_cache(successor, former.sock)
         former.successor = self.caches[successor]
-        for connection in [one for one in self.connections if one.server_name == name]:
-            connection.abort()
+        for connection in list(self.connections):
+            if isinstance(connection, CacheConnection) and connection.server_name == name:
+                connection.die()
         now = self.loop.time()
         former.successor.model.start(now)
         self.history.cold_starts.setdefault(successor, []).append(now)
