A close behind input that does not fit into the kernel is looked for before an attempt

While the kernel's receive buffer is over half full, input is read and held, 256 KiB a client and R in all (docs/memory.md), before a complete command of that client is processed; where there is no room for that, its requests are refused. While reading is paused a close is looked for each 30 ms. A client with held input is not taken for an idle one. Two tests of tests/test_departed_clients.py; the first fails without the change.

A program that does not fit into its limit of memory says so and ends, before it serves; two processes that share too little are a log line.

--- a/calicofall/proxy/client_connection.py
+++ b/calicofall/proxy/client_connection.py
@@ -12,16 +12,18 @@
 from calicofall.proxy import resp
 from calicofall.proxy.client_protocol import ARGUMENT_COUNTS
 from calicofall.proxy.close_cause import CloseCause
-from calicofall.proxy.command_memory import MAX_WAIT_FRACTION, REQUEST_BYTES
+from calicofall.proxy.command_memory import MAX_WAIT_FRACTION, RECEIVE_BYTES, REQUEST_BYTES
 from calicofall.proxy.command_parser import CommandParser
 from calicofall.proxy.connection import BufferedConnection
 from calicofall.proxy.held_input import HeldInput
-from calicofall.proxy.kernel_buffers import unread_bytes
+from calicofall.proxy.kernel_buffers import is_receive_buffer_crowded, unread_bytes
 
 if TYPE_CHECKING:
     from calicofall.proxy.clients import ClientConnections
 
 MAX_PIPELINED_COMMANDS = 16
+CLOSE_CHECK_INTERVAL_S = 0.03  # between two looks for a client's close while reading is paused
+MAX_HELD_BYTES = 1 << 18  # of input of one client that is read while replies to it are due
 NO_PARTIAL_COMMAND = (0, 0)  # its memory: without, with a long value
 log = logging.getLogger("calicofall")
 MAX_CONSECUTIVE_ERRORS = 8  # invalid commands in a row, after which the connection is closed
@@ -99,6 +101,7 @@
         self.replies: list[PendingReply] = []  # at most MAX_PIPELINED_COMMANDS
         self.reading_paused = False
         self.reading_paused_at = 0.0  # when reading was last paused (s, the loop's clock)
+        self.close_check_timer: asyncio.TimerHandle | None = None  # while reading is paused
         self.held_input = HeldInput()
         self.reply_in_progress: PendingReply | None = None  # of the command that is being processed
         self.ignores_input = False  # after QUIT, or after an error that closes the connection
@@ -110,13 +113,27 @@
         self.lacks_memory = False
         # Memory of answers that were written and not accepted yet, since the client reads slowly.
         self.unaccepted_bytes = 0
+        self.held_bytes = 0  # memory of input that is read and not processed
+        self.receive_size = 0  # of the memory into which input is read (bytes)
+        self.has_more_input = False  # whether the last input filled that memory
+        # A complete command that is not processed, since a close may lie behind what is unread; and where it
+        # ends in all input.
+        self.deferred_command: object = None
+        self.deferred_end_offset = 0
         self.partial_progress_at = 0.0  # when more of it last arrived (s, the loop's clock)
         self.progress_bytes = 0  # all input up to then
         self.stall_timer: asyncio.TimerHandle | None = None
 
     def get_buffer(self, sizehint: int) -> memoryview:
         """Returns the memory into which asyncio reads the next input."""
-        return self.input.free_space(self.clients.memory.receive_bytes())
+        buffer = self.input.free_space(self.clients.memory.receive_bytes())
+        self.receive_size = len(buffer)
+        return buffer
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """Input has been received; part of asyncio's protocol."""
+        self.has_more_input = nbytes == self.receive_size
+        super().buffer_updated(nbytes)
 
     def on_data(self) -> None:
         """Processes the complete commands, as far as the replies due and the memory allow."""
@@ -126,9 +143,11 @@
             self.input.drop(len(self.input))
         if self.closed or self.closing:
             return
-        must_pause = self.ignores_input or self._must_pause_reading()
-        if must_pause and len(self.input):
+        must_wait = self.ignores_input or self._must_wait()
+        if must_wait and (len(self.input) or self.deferred_command is not None):
             self.held_input.hold(self.received_bytes, self.loop.time())
+        self._count_held(self.input.allocated_bytes() if must_wait else 0)
+        must_pause = must_wait and not self._may_hold_more()
         if must_pause != self.reading_paused:
             self._set_reading_paused(must_pause)
 
@@ -163,7 +182,7 @@
             return
         if not (self.replies or self.closed or self.closing):
             self._on_all_replied()
-        if self.reading_paused and not (self.ignores_input or self.closing):
+        if (self.reading_paused or self._has_held_input()) and not (self.ignores_input or self.closing):
             self.clients.loop.call_soon(self.on_data)
 
     def pause_writing(self) -> None:
@@ -265,16 +284,31 @@
         """
         if not (self.closed or self.closing) and self.peer_has_closed():
             self.abort(CloseCause.PEER_CLOSED)
+        elif self.reading_paused and self._must_wait() and self._may_hold_more():
+            self._set_reading_paused(False)
         return self.closed
 
+    def check_hidden_close(self) -> None:
+        """Looks for a close while reading is paused, at intervals."""
+        self.close_check_timer = None
+        if not (self.closed or self.closing):
+            self.detect_disconnect()
+        if self.reading_paused:
+            self._schedule_close_check()
+
+    def _schedule_close_check(self) -> None:
+        if self.close_check_timer is None and not (self.closed or self.closing):
+            self.close_check_timer = self.loop.call_later(CLOSE_CHECK_INTERVAL_S, self.check_hidden_close)
+
     def on_descriptor_released(self) -> None:
         """Another client can be accepted."""
         self.clients.releasing.discard(self)
 
     def on_close(self) -> None:
         """The connection is closed: the requests whose replies are still due are cancelled."""
-        if self.stall_timer is not None:
-            self.stall_timer.cancel()
+        for timer in (self.stall_timer, self.close_check_timer):
+            if timer is not None:
+                timer.cancel()
         if self.has_undelivered_output():
             self.clients.memory.metrics.undelivered_closes += 1
         self.clients.memory.metrics.count_client_close(self.close_cause)
@@ -285,6 +319,7 @@
             )
         self.clients.remove_client(self)
         self._release_unaccepted()
+        self._count_held(0)
         self._end_requests()
 
     def _release_unaccepted(self) -> None:
@@ -303,21 +338,18 @@
 
     def _read_commands(self) -> None:
         while not (self.ignores_input or self.closing or self.closed):
-            if self._must_pause_reading():
-                return
-            try:
-                command = self.parser.read()
-            except resp.ProtocolError as error:
-                self.reject_further_input(str(error))
+            if self._must_wait():
                 return
+            command = self._next_command()
             if command is resp.INCOMPLETE:
-                if self.parser.long_value_awaits_decision and self._has_room():
-                    self.parser.accept_long_value()
-                    continue
-                self.clients.update_partial_command(self, self.parser.has_partial_message())
                 return
+            end_offset = self.deferred_end_offset or self.received_bytes - len(self.input)
+            if self._may_hide_close():
+                self.deferred_command, self.deferred_end_offset = command, end_offset
+                self.clients.mark_busy(self)
+                return
+            self.deferred_command, self.deferred_end_offset = None, 0
             if self.held_input:
-                end_offset = self.received_bytes - len(self.input)
                 held_s = self.held_input.take_wait_s(end_offset, self.loop.time())
                 self.waited_s = max(self.waited_s, held_s)
             # First, so that the command's memory passes from incomplete to complete without a gap.
@@ -327,6 +359,28 @@
             self._handle_command(reply, command)
             self.reply_in_progress = None
 
+    def _next_command(self) -> object:
+        """Returns the next command, or INCOMPLETE, which it also does after an error that ends the input."""
+        if self.deferred_command is not None:
+            return self.deferred_command
+        try:
+            command = self.parser.read()
+            if self.parser.long_value_awaits_decision and self._has_room():
+                self.parser.accept_long_value()
+                command = self.parser.read()
+        except resp.ProtocolError as error:
+            self.reject_further_input(str(error))
+            return resp.INCOMPLETE
+        if command is resp.INCOMPLETE:
+            if not self.parser.is_reading_long_value:
+                self.input.compact()
+            self.clients.update_partial_command(self, self.parser.has_partial_message())
+        return command
+
+    def _may_hide_close(self) -> bool:
+        """Whether a close may lie behind input that is unread, and more input may be read to find out."""
+        return (self.has_more_input or self.deferred_command is not None) and self._may_hold_more()
+
     def _has_room(self) -> bool:
         """Whether the long value that is next may be read now; else the client waits for room."""
         memory = self.clients.memory
@@ -340,8 +394,34 @@
         self.clients.update_partial_command(self, True)
         self.clients.loop.call_soon(self.on_data)
 
-    def _must_pause_reading(self) -> bool:
-        """Whether the replies due, or the memory used by all clients, allow no further command."""
+    def _may_hold_more(self) -> bool:
+        """Whether more input may be read while it cannot be processed.
+
+        The close of a client may lie behind input that does not fit into the kernel's buffer. It shows only
+        once that is read.
+        """
+        memory = self.clients.memory
+        if self.ignores_input or self in memory.waiting or len(self.input) >= MAX_HELD_BYTES:
+            return False
+        if not is_receive_buffer_crowded(self.transport):  # a close would show
+            return False
+        is_full = len(self.input) == self.input.allocated_bytes()
+        return memory.may_hold(max(self.input.allocated_bytes(), memory.receive_bytes()) if is_full else 0)
+
+    def _has_held_input(self) -> bool:
+        """Whether there is input that has been read and not processed."""
+        return len(self.input) > 0 or self.deferred_command is not None
+
+    def _count_held(self, held_bytes: int) -> None:
+        """Counts the memory of input that is read and not processed."""
+        if held_bytes != self.held_bytes:
+            self.clients.memory.add_held(held_bytes - self.held_bytes)
+            self.held_bytes = held_bytes
+
+    def _must_wait(self) -> bool:
+        """Whether the replies due, the memory in use, or what is unread allow no further command."""
+        if self.deferred_command is not None and self._may_hide_close():
+            return True
         memory = self.clients.memory
         max_replies = MAX_PIPELINED_COMMANDS if memory.has_read_ahead() else 1
         return self.write_paused or self in memory.waiting or len(self.replies) >= max_replies
@@ -352,6 +432,7 @@
         if paused:
             self.reading_paused_at = self.loop.time()
             self.transport.pause_reading()
+            self._schedule_close_check()
             return
         unread = unread_bytes(self.transport)
         if unread:
@@ -375,7 +456,7 @@
             self.reject_command(reply, "a command is an array of bulk strings")
             return
         name = command[0].upper()
-        if name in ARGUMENT_COUNTS and self.clients.memory.is_exhausted(reply.buffered_bytes):
+        if name in ARGUMENT_COUNTS and self._must_refuse(reply):
             reply.complete(resp.encode_error("BUSY"))
         elif name in ARGUMENT_COUNTS:
             self.clients.on_request(reply, [name, *command[1:]])
@@ -388,6 +469,18 @@
         else:
             self.reject_command(reply, "unknown command")
 
+    def _must_refuse(self, reply: PendingReply) -> bool:
+        """Whether a request gets no attempt for want of memory.
+
+        There may be no room for the request, or none to read the input behind which a close may lie.
+        """
+        memory = self.clients.memory
+        is_hidden = not memory.may_hold(RECEIVE_BYTES) and is_receive_buffer_crowded(self.transport)
+        if not (is_hidden or memory.is_exhausted(reply.buffered_bytes)):
+            return False
+        memory.metrics.memory_refusals += 1
+        return True
+
     def _handle_ping(self, reply: PendingReply, command: list[bytes]) -> None:
         if self.clients.rejects_ping:
             reply.complete(resp.encode_error("ERR emptying"))
@@ -410,8 +503,9 @@
 
     def _on_all_replied(self) -> None:
         is_shutting_down = self.clients.close_after_reply
+        has_begun = self.parser.has_partial_message() or self.deferred_command is not None
         # During a shutdown, commands that have begun are still answered before the close.
-        if self.ignores_input or (is_shutting_down and not self.parser.has_partial_message()):
+        if self.ignores_input or (is_shutting_down and not has_begun):
             self.close(CloseCause.SHUTDOWN)
-        elif not is_shutting_down:
+        elif not (is_shutting_down or self._has_held_input()):  # else the next command is processed soon
             self.clients.mark_idle(self)
--- a/calicofall/proxy/command_memory.py
+++ b/calicofall/proxy/command_memory.py
@@ -66,6 +66,7 @@
         self.buffered_bytes = 0  # of complete commands and of replies
         self.short_bytes = 0  # of incomplete commands without a long value
         self.reserved_bytes = 0  # of incomplete commands with a long value: its whole length
+        self.held_bytes = 0  # of input that is read and not processed, as replies are due
         self.reply_bytes = 0  # of replies that are received whole
         self.streamed_replies = 0  # number of replies that are forwarded as they arrive
         self.waiting: dict[WaitingClient, RoomWait] = {}  # in the order of arrival
@@ -84,7 +85,17 @@
 
     def total_bytes(self) -> int:
         """Returns the bytes that are counted against `max_total_bytes`."""
-        return self.buffered_bytes + self.partial_command_bytes + self.reply_bytes
+        return self.buffered_bytes + self.partial_command_bytes + self.reply_bytes + self.held_bytes
+
+    def may_hold(self, count: int) -> bool:
+        """Whether so many further bytes of input may be read without being processed."""
+        return self.held_bytes + count <= self.read_ahead_bytes and self.total_bytes() < self.max_total_bytes
+
+    def add_held(self, count: int) -> None:
+        """Adds bytes of input that is not processed; a negative count releases them."""
+        self.held_bytes += count
+        if count < 0:
+            self._grant()
 
     def chunk_bytes(self) -> int:
         """Returns how much of a value that arrives in parts is received at once."""
@@ -113,10 +124,8 @@
 
     def is_exhausted(self, own_bytes: int) -> bool:
         """Whether a request that takes some bytes, which are counted already, has to be refused."""
-        if self.buffered_bytes - own_bytes + self.reply_bytes < self.max_total_bytes + self.read_ahead_bytes:
-            return False
-        self.metrics.memory_refusals += 1
-        return True
+        in_use = self.buffered_bytes - own_bytes + self.reply_bytes
+        return in_use >= self.max_total_bytes + self.read_ahead_bytes
 
     def set_read_ahead(self, read_ahead_bytes: int) -> None:
         """Changes the limits; what is in use already stays."""
--- a/calicofall/proxy/kernel_buffers.py
+++ b/calicofall/proxy/kernel_buffers.py
@@ -14,6 +14,10 @@
 
 READ_SIZE_BYTES = 1 << 16
 MAX_DISCARDED_INPUT_BYTES = 1 << 23  # by one call: more than a socket's receive buffer usually holds
+SO_MEMINFO = 55  # of Linux; `socket` does not name it
+MEMINFO = struct.Struct("II")  # its first fields: allocated for input, and the limit of that (bytes)
+CROWDED_FRACTION = 0.5  # of that limit
+CROWDED_UNREAD_BYTES = 1 << 15  # where the system does not tell
 ABORTIVE_CLOSE = struct.pack("ii", 1, 0)  # SO_LINGER, on, for 0 s
 
 
@@ -27,6 +31,19 @@
     return _byte_count(transport, FIONREAD)
 
 
+def is_receive_buffer_crowded(transport: Any) -> bool:
+    """Returns whether so much input is unread that the peer may be unable to send all that it wrote."""
+    raw_socket = None if transport is None else transport.get_extra_info("socket")
+    if raw_socket is None:
+        return False
+    try:
+        memory = raw_socket.getsockopt(socket.SOL_SOCKET, SO_MEMINFO, MEMINFO.size)
+    except OSError:
+        return unread_bytes(transport) >= CROWDED_UNREAD_BYTES
+    allocated, limit = MEMINFO.unpack(memory)
+    return bool(allocated >= CROWDED_FRACTION * limit)
+
+
 def discard_unread_input(transport: Any) -> None:
     """Reads and drops input, because closing a socket over it resets the connection."""
     file_descriptor = _file_descriptor(transport)
--- a/calicofall/proxy/process_memory.py
+++ b/calicofall/proxy/process_memory.py
@@ -22,6 +22,10 @@
     return int(fields[RESIDENT_PAGES_FIELD]) * sysconf("SC_PAGE_SIZE")
 
 
+class MemoryLimitError(OSError):
+    """The program does not fit into the limit of memory; the message says how much it takes."""
+
+
 class ProcessMemory:
     """Watches the resident memory.
 
@@ -48,6 +52,20 @@
         """Returns the limit (MiB)."""
         return self.limit_bytes // MEBIBYTE
 
+    def require_room(self) -> None:
+        """Checks that the program has room to serve; called once, as it starts.
+
+        Raises:
+            MemoryLimitError: It takes all of the limit already.
+        """
+        resident = resident_bytes()
+        if resident >= self.limit_bytes:
+            resident_mb = resident / MEBIBYTE
+            raise MemoryLimitError(
+                f"limits.memory_mb: a process takes {resident_mb:.1f} MB without a client, "
+                f"and may have {self.limit_mb()}"
+            )
+
     def check(self) -> None:
         """Measures the resident memory, and logs it when it is near the limit; called at intervals."""
         resident = resident_bytes()
--- a/calicofall/proxy/server.py
+++ b/calicofall/proxy/server.py
@@ -43,7 +43,7 @@
 from calicofall.proxy.metrics import Metrics
 from calicofall.proxy.operator_calls import OperatorCalls
 from calicofall.proxy.outlier_reports import OutlierReports
-from calicofall.proxy.process_limits import divide_limits, process_memory_bytes
+from calicofall.proxy.process_limits import BASE_MEMORY_MB, divide_limits, process_memory_bytes
 from calicofall.proxy.process_lock import ProcessLock
 from calicofall.proxy.process_memory import ProcessMemory
 from calicofall.proxy.quota_enforcement import (
@@ -581,6 +581,11 @@
             )
             limits = divide_limits(self.node, process_count)
             self.process_memory.limit_bytes = process_memory_bytes(self.node, process_count)
+            if self.process_memory.limit_mb() < BASE_MEMORY_MB:
+                log.warning(
+                    "memory limit too low for the processes that share it",
+                    extra=self.process_memory.log_fields(),
+                )
             self.clients.memory.set_read_ahead(limits.read_ahead_bytes)
             self.upstreams.set_max_connections(limits.max_upstream_connections)
             self.clients.set_max_connections(limits.max_connections)
@@ -639,6 +644,7 @@
             self.loop.add_signal_handler(signal.SIGTERM, task.cancel)
         signal.pthread_sigmask(signal.SIG_UNBLOCK, BLOCKED_SIGNALS)  # delivers signals that are pending
         try:
+            self.process_memory.require_room()
             await self.run()
         except asyncio.CancelledError:
             log.info("stopped", extra={"door": "listener was not open yet"})
@@ -760,6 +766,7 @@
             "buffered": memory.buffered_bytes,
             "incomplete": memory.partial_command_bytes,
             "replies": memory.reply_bytes,
+            "held": memory.held_bytes,
             "streams": memory.streamed_replies,
             "waiting": len(memory.waiting),
         }
--- a/tests/test_departed_clients.py
+++ b/tests/test_departed_clients.py
@@ -67,6 +67,41 @@
     assert not socket_harness.proxy.active_requests
 
 
+def test_close_behind_input_that_does_not_fit_into_the_kernel_is_noticed(
+    socket_harness: SocketHarness,
+) -> None:
+    """The client's close is sent only once what precedes it has been read, and no reply comes meanwhile."""
+    sock = socket.socket()
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 1 << 20)
+    sock.connect(socket_harness.address)
+    socket_harness.run_until(lambda: socket_harness.proxy.clients.connections)
+    (connection,) = socket_harness.proxy.clients.connections
+    connection.transport.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 8192)
+    sock.sendall(b"".join(encode_request("save") for _ in range(COMMANDS)))
+    sock.close()
+    assert not connection.peer_has_closed()
+    socket_harness.run_loop(0.1)
+    assert connection.closed
+    assert not socket_harness.proxy.active_requests
+    assert socket_harness.proxy.clients.memory.held_bytes == 0
+
+
+def test_input_that_is_held_is_bounded_and_its_commands_are_answered(socket_harness: SocketHarness) -> None:
+    memory = socket_harness.proxy.clients.memory
+    memory.set_read_ahead(1 << 17)
+    sock = socket_harness.client()
+    (connection,) = socket_harness.proxy.clients.connections
+    sock.setblocking(False)
+    sent = sock.send(b"".join(encode_request(remaining_ms="300") for _ in range(4 * COMMANDS)))
+    socket_harness.run_loop(0.1)
+    assert 0 < memory.held_bytes <= 1 << 17
+    assert connection.reading_paused
+    commands = sent // len(encode_request(remaining_ms="300"))
+    metrics = socket_harness.proxy.metrics
+    socket_harness.run_until(lambda: sum(metrics.totals().values()) + metrics.memory_refusals >= commands)
+    assert memory.held_bytes == 0
+
+
 @pytest.mark.parametrize("method", ["save", "order", "read"])
 def test_client_that_leaves_between_its_commands_and_their_attempts_causes_none(
     socket_harness: SocketHarness, method: str
--- a/tests/test_process_memory.py
+++ b/tests/test_process_memory.py
@@ -1,6 +1,8 @@
 """The process measures its own memory, and its log says why connections and the process end."""
 
 import logging
+import subprocess
+import sys
 
 import pytest
 from helpers import FakeTransport, ProxyHarness, encode_request
@@ -29,10 +31,16 @@
 
 
 def test_resident_memory_is_that_of_this_process() -> None:
-    before = process_memory.resident_bytes()
-    held = bytearray(b"x") * (32 * MEBIBYTE)
-    grown = process_memory.resident_bytes() - before
-    assert len(held) == 32 * MEBIBYTE
+    """In a process of its own: one that has freed memory may not grow."""
+    program = (
+        "from calicofall.proxy.process_memory import resident_bytes\n"
+        "before = resident_bytes()\n"
+        "held = bytearray(b'x') * (32 << 20)\n"
+        "print(resident_bytes() - before, len(held))\n"
+    )
+    output = subprocess.run([sys.executable, "-c", program], capture_output=True, check=True).stdout
+    grown, held = map(int, output.split())
+    assert held == 32 * MEBIBYTE
     assert 24 * MEBIBYTE < grown < 48 * MEBIBYTE
 
 
@@ -61,3 +69,15 @@
     refused = Watch(harness.proxy.discovery)
     FakeTransport(refused).feed(b"HTTP/1.1 503 Busy\r\n\r\n")
     assert refused.close_reason == "answered b'HTTP/1.1 503 Busy'"
+
+
+def test_program_that_does_not_fit_into_its_limit_is_an_error_that_says_so(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    memory = ProxyHarness().proxy.process_memory
+    memory.require_room()
+    monkeypatch.setattr(process_memory, "resident_bytes", lambda: 200 * MEBIBYTE)
+    with pytest.raises(
+        process_memory.MemoryLimitError, match=r"200\.0 MB without a client, and may have 192"
+    ):
+        memory.require_room()
