The check that the program fits into its memory is made by the command that serves

The whole suite hung twice in tests/test_net.py: a test worker that has more resident memory than the limit of its proxy (192 MB) ended the proxy's start, and the test waits for its listener. The check belongs to the process, so the command `serve` makes it.

--- a/calicofall/cli/main.py
+++ b/calicofall/cli/main.py
@@ -55,7 +55,9 @@
     logs.configure_logging(log_level)
 
     async def run() -> None:
-        await Proxy(node, asyncio.get_running_loop()).serve(lambda: configuration(config, again=True))
+        proxy = Proxy(node, asyncio.get_running_loop())
+        proxy.process_memory.require_room()
+        await proxy.serve(lambda: configuration(config, again=True))
 
     try:
         asyncio.run(run())
--- a/calicofall/proxy/server.py
+++ b/calicofall/proxy/server.py
@@ -644,7 +644,6 @@
             self.loop.add_signal_handler(signal.SIGTERM, task.cancel)
         signal.pthread_sigmask(signal.SIG_UNBLOCK, BLOCKED_SIGNALS)  # delivers signals that are pending
         try:
-            self.process_memory.require_room()
             await self.run()
         except asyncio.CancelledError:
             log.info("stopped", extra={"door": "listener was not open yet"})
