--- a/tests/test_process_memory.py
+++ b/tests/test_process_memory.py
@@ -75,6 +75,7 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     memory = ProxyHarness().proxy.process_memory
+    monkeypatch.setattr(process_memory, "resident_bytes", lambda: 191 * MEBIBYTE)
     memory.require_room()
     monkeypatch.setattr(process_memory, "resident_bytes", lambda: 200 * MEBIBYTE)
     with pytest.raises(
