A start told by a stepped clock closes no connection that is opened later

Found on rereading the change: what callers would see is a handshake for each request to a cache whose listed start lies an hour ahead, as wall clocks may be stepped. Cause: connections opened before the listed start count as those of a former process, whatever that start is. The process can't have started after the list came: the earlier of both counts. The test fails without the change for the step forward.

--- a/calicofall/proxy/connection_pool.py
+++ b/calicofall/proxy/connection_pool.py
@@ -41,6 +41,7 @@
         # When the endpoint's process started (s, the loop's clock). A connection that is older than that was
         # opened to a former process, which may have vanished without a reset.
         self.process_started_at = -inf
+        self.listed_start = -inf  # the same as the list tells it, perhaps by a clock that was stepped
         self.accepts_requests = True  # whether the endpoint is neither draining nor gone
         # Rotates the order of the proxies' handshakes, so that a proxy's handshakes with different endpoints
         # are not all at the same time.
@@ -178,14 +179,19 @@
                 connection.abort(CloseCause.ENDPOINT_LEFT)
         self.fail_waiting("unconnected")
 
-    def set_process_start(self, started_at: float) -> None:
+    def set_process_start(self, listed_start: float) -> None:
         """Sets when the endpoint's process started; idle connections to a former process are closed."""
-        if started_at <= self.process_started_at:
+        if listed_start <= self.listed_start:
             return
-        self.process_started_at = started_at
-        for connection in [c for c in self.connections if c.is_idle and c.opened_at < started_at]:
+        self.listed_start = listed_start
+        self.process_started_at = min(listed_start, self.upstreams.loop.time())
+        for connection in [c for c in self.connections if c.is_idle and not self.is_current(c)]:
             connection.abort(CloseCause.ENDPOINT_LEFT)
 
+    def is_current(self, connection: UpstreamConnection) -> bool:
+        """Whether an open connection leads to the endpoint's present process, at its present address."""
+        return connection.address == self.address and connection.opened_at >= self.process_started_at
+
     def close_idle(self, idle_before: float = inf) -> None:
         """Closes the connections that have been idle since before a time (s, the loop's clock)."""
         for connection in [c for c in self.connections if c.is_idle and c.idle_since < idle_before]:
--- a/calicofall/proxy/upstream_connection.py
+++ b/calicofall/proxy/upstream_connection.py
@@ -249,8 +249,7 @@
 
     def become_idle(self) -> None:
         """Keeps the connection for the next command, unless its endpoint accepts none or has moved."""
-        is_current = self.address == self.pool.address and self.opened_at >= self.pool.process_started_at
-        if self.pool.accepts_requests and is_current:
+        if self.pool.accepts_requests and self.pool.is_current(self):
             self.idle_since = self.loop.time()
             self.pool.send_waiting_soon()
         else:
--- a/tests/test_reused_addresses.py
+++ b/tests/test_reused_addresses.py
@@ -84,6 +84,23 @@
     assert fresh.open
 
 
+@pytest.mark.parametrize("step_ms", [3_600_000.0, -3_600_000.0])
+def test_start_that_a_stepped_clock_tells_costs_no_connection_later(step_ms: float) -> None:
+    """An hour in the future would close each connection of that hour behind its first reply."""
+    harness = ProxyHarness(caches=1).with_high_limits()
+    restarted = endpoint("c1") | {"since_ms": harness.proxy.now_ms() + step_ms}
+    harness.push_endpoint_list(restarted)
+    harness.loop.advance(0.1)
+    while not harness.loop.connect_requests:  # a cold cache is admitted few requests
+        harness.client().feed(encode_request())
+    upstream = harness.connect_upstream()
+    upstream.feed(encode_reply())
+    harness.push_endpoint_list(restarted | {"weight": 2.0}, index=3)
+    harness.loop.advance(1.0)
+    assert upstream.open
+    assert upstream.stream.is_idle
+
+
 def test_keys_that_the_former_process_held_are_not_taken_for_cached() -> None:
     harness = ProxyHarness(caches=1).with_high_limits()
     harness.client().feed(encode_request(key=5))
