A command that waits for a look behind unread input is processed also if no more comes

Found on rereading the change: what callers would see is a request without any answer. Cause: a complete command is deferred while the kernel's receive buffer is over half full, to see whether a close lies behind; it was looked at again only when more input came, and reading could be paused between two looks at the buffer.

--- a/calicofall/proxy/client_connection.py
+++ b/calicofall/proxy/client_connection.py
@@ -282,18 +282,22 @@
 
         A transport reports the end of its input only once all of it has been read.
         """
-        if not (self.closed or self.closing) and self.peer_has_closed():
+        if self.closed or self.closing:
+            return self.closed
+        if self.peer_has_closed():
             self.abort(CloseCause.PEER_CLOSED)
         elif self.reading_paused and self._must_wait() and self._may_hold_more():
             self._set_reading_paused(False)
         return self.closed
 
     def check_hidden_close(self) -> None:
-        """Looks for a close while reading is paused, at intervals."""
+        """Looks for a close while reading is paused or a command is deferred, at intervals."""
         self.close_check_timer = None
-        if not (self.closed or self.closing):
-            self.detect_disconnect()
-        if self.reading_paused:
+        if self.detect_disconnect() or self.closing:
+            return
+        if self.deferred_command is not None:
+            self.on_data()
+        if self.reading_paused or self.deferred_command is not None:
             self._schedule_close_check()
 
     def _schedule_close_check(self) -> None:
@@ -347,6 +351,7 @@
             if self._may_hide_close():
                 self.deferred_command, self.deferred_end_offset = command, end_offset
                 self.clients.mark_busy(self)
+                self._schedule_close_check()
                 return
             self.deferred_command, self.deferred_end_offset = None, 0
             if self.held_input:
--- a/calicofall/proxy/kernel_buffers.py
+++ b/calicofall/proxy/kernel_buffers.py
@@ -33,13 +33,14 @@
 
 def is_receive_buffer_crowded(transport: Any) -> bool:
     """Returns whether so much input is unread that the peer may be unable to send all that it wrote."""
-    raw_socket = None if transport is None else transport.get_extra_info("socket")
-    if raw_socket is None:
+    unread = unread_bytes(transport)
+    if not unread:
         return False
+    raw_socket = transport.get_extra_info("socket")
     try:
         memory = raw_socket.getsockopt(socket.SOL_SOCKET, SO_MEMINFO, MEMINFO.size)
     except OSError:
-        return unread_bytes(transport) >= CROWDED_UNREAD_BYTES
+        return unread >= CROWDED_UNREAD_BYTES
     allocated, limit = MEMINFO.unpack(memory)
     return bool(allocated >= CROWDED_FRACTION * limit)
 
--- a/tests/test_departed_clients.py
+++ b/tests/test_departed_clients.py
@@ -8,7 +8,7 @@
 from helpers import ProxyHarness, encode_reply, encode_request
 from test_endings import SocketHarness, close_client
 
-from calicofall.proxy import resp
+from calicofall.proxy import client_connection, resp
 from calicofall.proxy.client_connection import MAX_PIPELINED_COMMANDS
 from calicofall.proxy.upstream_connection import REPLY_SETTLE_S
 
@@ -86,6 +86,19 @@
     assert socket_harness.proxy.clients.memory.held_bytes == 0
 
 
+@pytest.mark.parametrize("crowded_looks", range(8))
+def test_command_that_waited_for_a_close_is_sent_although_no_more_input_comes(
+    socket_harness: SocketHarness, monkeypatch: pytest.MonkeyPatch, crowded_looks: int
+) -> None:
+    """The kernel's buffer empties between two looks at it, when reading has just been paused."""
+    looks = iter([True] * crowded_looks)
+    monkeypatch.setattr(client_connection, "is_receive_buffer_crowded", lambda _: next(looks, False))
+    sock = socket_harness.client()
+    sock.sendall(b"".join(encode_request() for _ in range(2 * MAX_PIPELINED_COMMANDS)).ljust(4096, b"*"))
+    socket_harness.run_loop(0.2)
+    assert socket_harness.proxy.metrics.attempts_sent >= MAX_PIPELINED_COMMANDS
+
+
 def test_input_that_is_held_is_bounded_and_its_commands_are_answered(socket_harness: SocketHarness) -> None:
     memory = socket_harness.proxy.clients.memory
     memory.set_read_ahead(1 << 17)
