--- a/calicofall/proxy/buffers.py
+++ b/calicofall/proxy/buffers.py
@@ -12,6 +12,9 @@
 MAX_CAPACITY_BYTES = 1 << 23
 NO_MEMORY = bytearray(1)  # of a buffer without content; nothing is written to it
 NO_MEMORY_VIEW = memoryview(NO_MEMORY)
+MAX_SPARE_BUFFERS = 16
+# Memory of MIN_CAPACITY_BYTES that ring buffers have released: most hold their content for a moment.
+spare_buffers: list[tuple[bytearray, memoryview]] = []
 
 
 class RingBuffer:
@@ -40,7 +43,10 @@
         """
         capacity = len(self.memory)
         if self.memory is NO_MEMORY:
-            self._allocate(min_capacity)
+            if spare_buffers and min_capacity == MIN_CAPACITY_BYTES:
+                self.memory, self.view = spare_buffers.pop()
+            else:
+                self._allocate(min_capacity)
             capacity = min_capacity
         elif self.length == capacity:
             self._grow(capacity + 1)
@@ -94,6 +100,8 @@
         self.offset = (self.offset + count) % len(self.memory)
         self.length -= count
         if not self.length:
+            if len(self.memory) == MIN_CAPACITY_BYTES and len(spare_buffers) < MAX_SPARE_BUFFERS:
+                spare_buffers.append((self.memory, self.view))
             self._release()
 
     def compact(self) -> None:
--- a/calicofall/proxy/client_connection.py
+++ b/calicofall/proxy/client_connection.py
@@ -96,6 +96,7 @@
     def __init__(self, clients: "ClientConnections") -> None:
         super().__init__(clients.loop)
         self.clients = clients
+        self.min_receive_bytes = clients.memory.receive_bytes()
         self.closing_stall_timeout_s = clients.stall_timeout_s
         self.parser = CommandParser(self.input, clients.memory.chunk_bytes, commands_only=True)
         self.replies: list[PendingReply] = []  # at most MAX_PIPELINED_COMMANDS
@@ -114,8 +115,9 @@
         # Memory of answers that were written and not accepted yet, since the client reads slowly.
         self.unaccepted_bytes = 0
         self.held_bytes = 0  # memory of input that is read and not processed
-        self.receive_size = 0  # of the memory into which input is read (bytes)
-        self.has_more_input = False  # whether the last input filled that memory
+        self.noted_bytes = 0  # all input up to the last call of `_note_received`
+        self.has_more_input = False  # whether the last input filled the memory into which it was read
+        self.has_just_read_all = False  # whether `on_data` processes input behind which nothing was unread
         # A complete command that is not processed, since a close may lie behind what is unread; and where it
         # ends in all input.
         self.deferred_command: object = None
@@ -124,20 +126,10 @@
         self.progress_bytes = 0  # all input up to then
         self.stall_timer: asyncio.TimerHandle | None = None
 
-    def get_buffer(self, sizehint: int) -> memoryview:
-        """Returns the memory into which asyncio reads the next input."""
-        buffer = self.input.free_space(self.clients.memory.receive_bytes())
-        self.receive_size = len(buffer)
-        return buffer
-
-    def buffer_updated(self, nbytes: int) -> None:
-        """Input has been received; part of asyncio's protocol."""
-        self.has_more_input = nbytes == self.receive_size
-        super().buffer_updated(nbytes)
-
     def on_data(self) -> None:
         """Processes the complete commands, as far as the replies due and the memory allow."""
         self.clients.on_first_byte(self)
+        self._note_received()
         self._read_commands()
         if self.ignores_input:
             self.input.drop(len(self.input))
@@ -284,6 +276,8 @@
         """
         if self.closed or self.closing:
             return self.closed
+        if self.has_just_read_all and self.reply_in_progress is not None:
+            return False
         if self.peer_has_closed():
             self.abort(CloseCause.PEER_CLOSED)
         elif self.reading_paused and self._must_wait() and self._may_hold_more():
@@ -340,8 +334,18 @@
             if reply.answer is None:
                 self.clients.on_client_disconnected(reply)
 
+    def _note_received(self) -> None:
+        """Notes whether input has been received since the last call, and whether more may be unread."""
+        count = self.received_bytes - self.noted_bytes
+        self.noted_bytes = self.received_bytes
+        if count:
+            self.has_more_input = count >= self.receive_size
+        self.has_just_read_all = count > 0 and not self.has_more_input
+
     def _read_commands(self) -> None:
         while not (self.ignores_input or self.closing or self.closed):
+            if not self._has_held_input() and self.partial_bytes is NO_PARTIAL_COMMAND:
+                return
             if self._must_wait():
                 return
             command = self._next_command()
@@ -411,7 +415,7 @@
         if not is_receive_buffer_crowded(self.transport):  # a close would show
             return False
         is_full = len(self.input) == self.input.allocated_bytes()
-        return memory.may_hold(max(self.input.allocated_bytes(), memory.receive_bytes()) if is_full else 0)
+        return memory.may_hold(max(self.input.allocated_bytes(), self.min_receive_bytes) if is_full else 0)
 
     def _has_held_input(self) -> bool:
         """Whether there is input that has been read and not processed."""
@@ -480,6 +484,8 @@
         There may be no room for the request, or none to read the input behind which a close may lie.
         """
         memory = self.clients.memory
+        if memory.total_bytes() < memory.read_ahead_bytes:
+            return False
         is_hidden = not memory.may_hold(RECEIVE_BYTES) and is_receive_buffer_crowded(self.transport)
         if not (is_hidden or memory.is_exhausted(reply.buffered_bytes)):
             return False
--- a/calicofall/proxy/connection.py
+++ b/calicofall/proxy/connection.py
@@ -15,7 +15,7 @@
 from select import POLLIN, POLLRDHUP, poll
 from typing import Any
 
-from calicofall.proxy.buffers import OutputQueue, RingBuffer
+from calicofall.proxy.buffers import MIN_CAPACITY_BYTES, OutputQueue, RingBuffer
 from calicofall.proxy.close_cause import CloseCause
 from calicofall.proxy.kernel_buffers import unacknowledged_bytes
 from calicofall.proxy.lingering_close import STALL_TIMEOUT_S, LingeringClose
@@ -52,6 +52,8 @@
         self.connect_task: asyncio.Task[None] | None = None
         self.lingering_close: LingeringClose | None = None  # set while the connection is closing
         self.closing_stall_timeout_s = STALL_TIMEOUT_S
+        self.min_receive_bytes = MIN_CAPACITY_BYTES
+        self.receive_size = 0  # of the memory into which input was last read (bytes)
         self.received_bytes = 0  # since the connection was created
         self.queued_bytes = 0  # written to this connection since it was created
         self.handed_over_bytes = 0  # of these, passed to the transport
@@ -68,7 +70,9 @@
 
     def get_buffer(self, sizehint: int) -> memoryview:
         """Returns the memory into which asyncio reads the next input."""
-        return self.input.free_space()
+        buffer = self.input.free_space(self.min_receive_bytes)
+        self.receive_size = len(buffer)
+        return buffer
 
     def buffer_updated(self, nbytes: int) -> None:
         """Input has been received; part of asyncio's protocol."""
