--- a/calicofall/proxy/clients.py
+++ b/calicofall/proxy/clients.py
@@ -222,13 +222,17 @@
         none whose input is unread, or whose command waits for memory or is still arriving.
         """
         silent_before = self.loop.time() - FRESH_CONNECTION_S
-        without_input = [client for client in self.without_first_byte if not unread_bytes(client.transport)]
-        silent = (client for client in without_input if self.without_first_byte[client] < silent_before)
+        oldest_without_input = next(
+            (client for client in self.without_first_byte if not unread_bytes(client.transport)), None
+        )
+        is_silent = (
+            oldest_without_input is not None and self.without_first_byte[oldest_without_input] < silent_before
+        )
         candidates: Sequence[ClientConnection | None] = (
             first_without_due(self.closing),
-            next(silent, None),
+            oldest_without_input if is_silent else None,
             first_without_due(client for client in self.idle if not unread_bytes(client.transport)),
-            next(iter(without_input), None),
+            oldest_without_input,
             first_without_due(client for client in self.partial_commands if self._awaits_input(client)),
         )
         return next((client for client in candidates if client is not None), None)
