An id that comes again at the other process of an upgrade is not run twice

Cause: the ids of departed clients were known to one process alone.

The processes of one proxy share them through a file in the folder in which they find each other, 24 bytes an id, 64 KiB at most; it is looked at for requests with an effect alone. What a kill leaves half written is cut off, a failure of the file system costs the other process's ids and a log line. Not covered: an id whose first client is still connected to the other process.

--- a/calicofall/proxy/request_lifecycle.py
+++ b/calicofall/proxy/request_lifecycle.py
@@ -28,7 +28,7 @@
 )
 from calicofall.proxy.departed_requests import DepartedRequests
 from calicofall.proxy.upstream_command import UpstreamCommand
-from calicofall.routing.request import Request
+from calicofall.routing.request import Request, RetrySafety
 
 if TYPE_CHECKING:
     from calicofall.proxy.server import Proxy
@@ -329,7 +329,8 @@
         fields = parse_request_fields(parts, self.methods, self.tenants)
         if parts[2] in self.active_client_ids:  # an endpoint would take it for the request in flight
             raise InvalidRequestError("the id of an RPC in hand")
-        if self.departed.may_have_run(parts[2], self.proxy.loop.time()):
+        has_effect = self.methods[fields.method].get("repeats") != RetrySafety.IDEMPOTENT
+        if has_effect and self.departed.may_have_run(parts[2], self.proxy.loop.time()):
             raise InvalidRequestError("the id of a request that may have run")
         return fields
 
--- a/calicofall/proxy/server.py
+++ b/calicofall/proxy/server.py
@@ -36,6 +36,7 @@
 from calicofall.proxy.clients import ClientConnections
 from calicofall.proxy.command_memory import CommandMemory
 from calicofall.proxy.connection import Listener, check_address_available, open_connection
+from calicofall.proxy.departure_file import DepartureFile
 from calicofall.proxy.discovery import Discovery
 from calicofall.proxy.gossip_transport import GossipTransport
 from calicofall.proxy.graceful_shutdown import REPLACED_IDLE_CLOSE_DELAY_S, GracefulShutdown
@@ -637,7 +638,10 @@
             self.management.listen(parse_address(self.node["mgmt"]))
         # The lock's name includes the address: two proxies of the same name for two customers do not replace
         # each other.
-        self.process_lock = ProcessLock(f"{self.node['name']}-{self.node['listen']}", tempfile.gettempdir())
+        process_name = f"{self.node['name']}-{self.node['listen']}"
+        self.process_lock = ProcessLock(process_name, tempfile.gettempdir())
+        departures = DepartureFile(f"{self.process_lock.folder}.departures")
+        self.requests.departed.shared_file = departures
         # Before the listener opens no request has been accepted, so SIGTERM ends the process at once.
         task = asyncio.current_task()
         if task is not None:
@@ -653,6 +657,8 @@
             log.exception("process failed", extra={"reason": repr(error), **self.process_memory.log_fields()})
             raise
         finally:
+            self.process_lock.refresh()
+            departures.close(is_last=not self.process_lock.other_process_count)
             self.process_lock.release()
             self.management.close()
             for component in (
