A client that has closed unnoticed costs no other client its connection

What callers saw: -ERR internal error and a close, by another client's doing. Cause: the input of one client can close another one (too many incomplete commands); if that one has closed unnoticed, its system resets what it is sent, the shutdown raises ENOTCONN, and the error is taken for one of the client whose input it was. Each such line has a traceback, so that the log grew with the crowd.

The shutdown's error ends the connection that it belongs to. The test fails without the change, with that error. Other calls on a transport that can run in another connection's callback (write, pause and resume reading, abort) don't raise.

--- a/calicofall/proxy/connection.py
+++ b/calicofall/proxy/connection.py
@@ -119,8 +119,16 @@
         self.on_bytes_handed_over()
         all_written = not (self.write_paused or len(self.output))
         if self.lingering_close is not None and not self.lingering_close.is_shut_down and all_written:
+            self._shut_down_writing(self.lingering_close)
+
+    def _shut_down_writing(self, lingering_close: LingeringClose) -> None:
+        """Shuts the connection down behind its last byte, or aborts it if its peer has reset it."""
+        try:
             self.transport.write_eof()
-            self.lingering_close.on_shut_down()
+        except OSError:
+            self.abort(CloseCause.PEER_RESET)
+        else:
+            lingering_close.on_shut_down()
 
     def pause_writing(self) -> None:
         """The transport's buffer is full; part of asyncio's protocol."""
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -168,6 +168,25 @@
 # The proxy closes a client's connection
 
 
+def test_client_that_has_closed_unnoticed_costs_no_other_client_its_connection(
+    socket_harness: SocketHarness,
+) -> None:
+    """Its system resets what it is sent; the error of the shutdown was taken for one of the other client."""
+    clients = socket_harness.proxy.clients
+    leaving, writing = socket_harness.client(), socket_harness.client()
+    leaving.sendall(encode_request()[:40])
+    socket_harness.run_until(lambda: len(clients.partial_commands) == 1)
+    (connection,) = clients.partial_commands
+    writing.sendall(encode_request()[:40])
+    socket_harness.run_until(lambda: len(clients.partial_commands) == 2)
+    other = next(client for client in clients.partial_commands if client is not connection)
+    clients.memory.read_ahead_bytes = other.partial_bytes[0]
+    close_client(leaving, connection)
+    clients.update_partial_command(other, True)  # as its input does, while the other's close is unread
+    assert connection.closed
+    assert not other.ignores_input
+
+
 def test_close_with_unread_input_discards_no_answer(socket_harness: SocketHarness) -> None:
     """A command arrived during the close, and the reset that followed discarded the reply in flight."""
     sock = socket_harness.client()
