--- a/calicofall/proxy/active_request.py
+++ b/calicofall/proxy/active_request.py
@@ -1,8 +1,8 @@
 """A client's request in flight, as the proxy keeps it: the reply that is due and the command to forward."""
 
 from calicofall.proxy import resp
-from calicofall.proxy.client_connection import PendingReply
 from calicofall.proxy.client_protocol import build_forwarded_command
+from calicofall.proxy.pending_reply import PendingReply
 from calicofall.proxy.upstream_command import UpstreamCommand
 from calicofall.routing.request import Request
 
--- a/calicofall/proxy/clients.py
+++ b/calicofall/proxy/clients.py
@@ -9,10 +9,11 @@
 from collections import OrderedDict
 from collections.abc import Callable, Iterable, Sequence
 
-from calicofall.proxy.client_connection import NO_PARTIAL_COMMAND, ClientConnection, PendingReply
+from calicofall.proxy.client_connection import NO_PARTIAL_COMMAND, ClientConnection
 from calicofall.proxy.close_cause import CloseCause
 from calicofall.proxy.command_memory import CommandMemory
 from calicofall.proxy.kernel_buffers import discard_unread_input, unread_bytes
+from calicofall.proxy.pending_reply import PendingReply
 
 FIRST_BYTE_TIMEOUT_S = 2.3
 COMMAND_TIMEOUT_S = 2.5  # for a complete command, or for more input of a long one
@@ -123,7 +124,7 @@
         self.memory.add_partial(short - former_short, reserved - former_reserved)
         while self.memory.short_bytes > self.memory.read_ahead_bytes:
             oldest = next(other for other in self.partial_commands if other.partial_bytes[0])
-            self.reject_partial_command(oldest, "too much has come in halves")
+            self.reject_partial_command(oldest, "too many incomplete commands")
 
     def reject_partial_command(self, client: ClientConnection, reason: str) -> None:
         """Closes a connection whose command is incomplete, with an error reply."""
--- a/calicofall/proxy/request_lifecycle.py
+++ b/calicofall/proxy/request_lifecycle.py
@@ -19,7 +19,6 @@
 from calicofall.invariants import check_invariant
 from calicofall.proxy import resp
 from calicofall.proxy.active_request import ActiveRequest
-from calicofall.proxy.client_connection import PendingReply
 from calicofall.proxy.client_protocol import (
     InvalidRequestError,
     RequestFields,
@@ -27,6 +26,7 @@
     parse_time_left_ms,
 )
 from calicofall.proxy.departed_requests import DepartedRequests
+from calicofall.proxy.pending_reply import PendingReply
 from calicofall.proxy.upstream_command import UpstreamCommand
 from calicofall.routing.request import Request, RetrySafety
 
@@ -328,7 +328,7 @@
     def _parse_request(self, parts: list[bytes]) -> RequestFields:
         fields = parse_request_fields(parts, self.methods, self.tenants)
         if parts[2] in self.active_client_ids:  # an endpoint would take it for the request in flight
-            raise InvalidRequestError("the id of an RPC in hand")
+            raise InvalidRequestError("the id of a request in flight")
         has_effect = self.methods[fields.method].get("repeats") != RetrySafety.IDEMPOTENT
         if has_effect and self.departed.may_have_run(parts[2], self.proxy.loop.time()):
             raise InvalidRequestError("the id of a request that may have run")
--- a/calicofall/proxy/server.py
+++ b/calicofall/proxy/server.py
@@ -9,7 +9,6 @@
 """
 
 import asyncio
-import gc
 import logging
 import signal
 import tempfile
@@ -38,6 +37,7 @@
 from calicofall.proxy.connection import Listener, check_address_available, open_connection
 from calicofall.proxy.departure_file import DepartureFile
 from calicofall.proxy.discovery import Discovery
+from calicofall.proxy.garbage_collection import GarbageCollection, exempt_present_objects
 from calicofall.proxy.gossip_transport import GossipTransport
 from calicofall.proxy.graceful_shutdown import REPLACED_IDLE_CLOSE_DELAY_S, GracefulShutdown
 from calicofall.proxy.management import ManagementServer
@@ -71,10 +71,6 @@
 MAX_PROXIES_PRECONNECTING = 7
 TICK_DELAY_S = 0.003  # delay of a tick, so that events close together share one
 UPKEEP_INTERVAL_S = 0.25
-FULL_COLLECTION_ROUNDS = 20  # upkeep rounds between two garbage collections of all generations
-# Connections closed since the last collection of all generations, after which there is another one: each
-# leaves some kilobytes of reference cycles.
-FULL_COLLECTION_CLOSES = 64
 # Time after SIGTERM in which new connections are still accepted: the load balancer in front may still choose
 # this proxy.
 ACCEPT_AFTER_SIGTERM_S = 0.5
@@ -130,8 +126,7 @@
         # Identifies this incarnation, so that answers to a previous incarnation's messages can be ignored.
         has_peers = "gossip_address" in self.startup_settings
         self.incarnation = self.random_generator.getrandbits(48) if has_peers else 0
-        # `collected_closes`: closes of connections until the last garbage collection of all generations.
-        self.upkeep_rounds = self.collected_closes = 0
+        self.garbage_collection = GarbageCollection()
         self.logged_ejections: list[str] = []  # ejected endpoints, as last logged
         self.tick_timer: asyncio.Handle | None = None
         self.tick_due_at = float("inf")
@@ -602,27 +597,13 @@
         self.process_memory.check()
         self.upstreams.close_expired_idle()
         self.clients.close_overdue()
-        self.upkeep_rounds += 1
         if (
             self.requests.logs_requests
             and (ejected := self.router.ejected_endpoints(self.now_ms())) != self.logged_ejections
         ):
             self.logged_ejections = ejected
             log.debug("aside", extra={"caches": ",".join(ejected) or None})
-        self.collect_garbage()
-
-    def collect_garbage(self) -> None:
-        """Collects the youngest generation, or all after some rounds or many closed connections.
-
-        asyncio's transports are reference cycles, which would stay in the older generations.
-        """
-        closes = self.metrics.total_closes()
-        is_full = not self.upkeep_rounds % FULL_COLLECTION_ROUNDS
-        if is_full or closes - self.collected_closes >= FULL_COLLECTION_CLOSES:
-            self.collected_closes = closes
-            gc.collect(2)
-        else:
-            gc.collect(0)
+        self.garbage_collection.collect(self.metrics.total_closes())
 
     # Startup, signals and errors
 
@@ -689,11 +670,7 @@
         self.discovery.start()
         self.upkeep()
         self.schedule_tick()
-        # Most objects created so far live as long as the process. Frozen, they are not examined by garbage
-        # collections, which stay short, so that timers are on time.
-        gc.collect()
-        gc.freeze()
-        gc.set_threshold(20_000, 50, 1000)
+        exempt_present_objects()  # most of them live as long as the process
         await self.wait_for_list()
         # The listener opens last: from here on the kernel assigns new connections to this process, too.
         self.listener = Listener(
