Held input has a part of its own in the sum of all bounds

On rereading: requests and replies 3 R, incomplete short commands R, held input R, and R for what isn't counted are six parts of the memory for buffers; the division said five, from before input was held. R is a sixth less.

--- a/calicofall/proxy/process_limits.py
+++ b/calicofall/proxy/process_limits.py
@@ -13,9 +13,9 @@
 BASE_MEMORY_MB = 24  # memory of a proxy process that has no connections
 CONNECTION_BYTES = 6144  # memory of a connection that is idle, or that waits with an incomplete command
 MAX_CONNECTIONS_FRACTION = 0.4  # of the memory above the base, for connections
-# Requests and replies together may use three times the read-ahead, incomplete short commands as much as that
-# once, and one part is kept for what is not counted.
-MEMORY_PARTS = 5
+# Requests and replies together may use three times the read-ahead, incomplete short commands, and input that
+# is read and not processed, as much as that once each, and one part is kept for what is not counted.
+MEMORY_PARTS = 6
 MIN_READ_AHEAD_BYTES = 1 << 18
 KEY_FRACTION = 0.2  # of the memory above the base, for what is remembered by key
 MIN_KEYS = 256
--- a/tests/test_memory_limit.py
+++ b/tests/test_memory_limit.py
@@ -76,6 +76,13 @@
         await asyncio.sleep(0.1)
 
 
+async def leave_at_once(proxy: ProxyProcess) -> None:
+    _, writer = await proxy.connect()
+    writer.write(b"".join(request("save") for _ in range(600)))
+    await writer.drain()
+    writer.close()
+
+
 CROWDS: dict[str, tuple[Client, int]] = {
     "connections that say nothing": (say_nothing, 900),
     "connections that rest": (rest_after_a_ping, 900),
@@ -88,6 +95,7 @@
     "many commands each": (send_many_commands, 300),
     "many small reads each": (send_many_small_reads, 300),
     "slow readers": (read_slowly, 300),
+    "clients that leave at once": (leave_at_once, 300),
 }
 
 
